--- /dev/null
+++ b/Makefile
@@ -0,0 +1,39 @@
+# Every job of a maintainer. `make help` lists them.
+OUT  := out
+BIN  := $(OUT)/bin
+PROGRAMS := entry agent firford fakeplatform fakeengine bench
+GO_FILES = $$(git ls-files --cached --others --exclude-standard '*.go' | grep -v '\.pb\.go$$')
+
+
+.PHONY: help build test format format-check lint vet unit race clean
+
+help: ## List the jobs
+	@grep -E '^[a-z_-]+:.*##' Makefile | sed 's/:.*##/:/'
+
+build: ## Build all programs into out/bin
+	@mkdir -p $(BIN)
+	@for program in $(PROGRAMS); do go build -o $(BIN)/$$program firford/cmd/$$program || exit 1; done
+
+test: format-check lint vet race ## Formatter, linter, vet, race detector and all tests
+
+format: ## Rewrite all files in the project's format
+	@go tool gofumpt -w $(GO_FILES)
+
+format-check:
+	@unformatted=$$(go tool gofumpt -l $(GO_FILES)); \
+	if [ -n "$$unformatted" ]; then echo "not formatted:"; echo "$$unformatted"; exit 1; fi
+
+lint: ## Run the linter with its default rules
+	@go tool revive -config revive.toml -set_exit_status -exclude "**/*.pb.go" ./cmd/... ./lib/...
+
+vet:
+	@go vet work
+
+race: ## All tests under the race detector, with fixed seeds
+	@go test -race -timeout 20m work
+
+unit: ## All tests without the race detector
+	@go test work
+
+clean: ## Remove everything that the build made
+	@rm -rf $(OUT)
--- /dev/null
+++ b/cmd/agent/main.go
@@ -0,0 +1,4 @@
+// Program agent is not built yet.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/bench/main.go
@@ -0,0 +1,4 @@
+// Program bench is not built yet.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/entry/main.go
@@ -0,0 +1,4 @@
+// Program entry is not built yet.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/fakeengine/main.go
@@ -0,0 +1,4 @@
+// Program fakeengine is not built yet.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/fakeplatform/main.go
@@ -0,0 +1,4 @@
+// Program fakeplatform is not built yet.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/firford/main.go
@@ -0,0 +1,4 @@
+// Program firford is not built yet.
+package main
+
+func main() {}
--- /dev/null
+++ b/lib/findings/findings.go
@@ -0,0 +1,132 @@
+// Package findings collects problems together with the place where each was
+// found, so that an operator sees all of them in one run instead of mending
+// one and meeting the next.
+package findings
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+)
+
+type (
+	// Place names a position in a file. Line and Column count from 1; zero means
+	// that the problem has no position, for example a key that is absent.
+	Place struct {
+		File   string
+		Line   int
+		Column int
+	}
+
+	// Finding is one problem. Found and Allowed are empty where they say nothing
+	// beyond Text. Source is the offending line.
+	Finding struct {
+		Place   Place
+		Key     string
+		Text    string
+		Found   string
+		Allowed string
+		Source  string
+	}
+
+	// List is an immutable collection of findings. The zero value is empty.
+	List struct {
+		all []Finding
+	}
+
+	// Error carries a list that holds at least one finding.
+	Error struct {
+		List List
+	}
+)
+
+// With returns a list that also holds the finding.
+func (list List) With(finding Finding) List {
+	all := make([]Finding, len(list.all), len(list.all)+1)
+	copy(all, list.all)
+	return List{all: append(all, finding)}
+}
+
+// Join returns a list that holds the findings of both.
+func (list List) Join(other List) List {
+	all := make([]Finding, 0, len(list.all)+len(other.all))
+	all = append(all, list.all...)
+	return List{all: append(all, other.all...)}
+}
+
+// Len returns the number of findings.
+func (list List) Len() int {
+	return len(list.all)
+}
+
+// All returns a copy of the findings, ordered by place.
+func (list List) All() []Finding {
+	all := make([]Finding, len(list.all))
+	copy(all, list.all)
+	sort.SliceStable(all, func(i, j int) bool {
+		if all[i].Place.File != all[j].Place.File {
+			return all[i].Place.File < all[j].Place.File
+		}
+		return all[i].Place.Line < all[j].Place.Line
+	})
+	return all
+}
+
+// Err returns nil for an empty list, otherwise an *Error.
+func (list List) Err() error {
+	if len(list.all) == 0 {
+		return nil
+	}
+	return &Error{List: list}
+}
+
+// String renders every finding with its offending line.
+func (list List) String() string {
+	var text strings.Builder
+	for _, finding := range list.All() {
+		text.WriteString(finding.String())
+		text.WriteByte('\n')
+	}
+	return text.String()
+}
+
+func (problem *Error) Error() string {
+	return strings.TrimRight(problem.List.String(), "\n")
+}
+
+func (place Place) String() string {
+	switch {
+	case place.File == "":
+		return ""
+	case place.Line == 0:
+		return place.File + ": "
+	case place.Column == 0:
+		return fmt.Sprintf("%s:%d: ", place.File, place.Line)
+	default:
+		return fmt.Sprintf("%s:%d:%d: ", place.File, place.Line, place.Column)
+	}
+}
+
+// String renders the finding on one line, followed by the offending line where
+// there is one.
+func (finding Finding) String() string {
+	var text strings.Builder
+	text.WriteString(finding.Place.String())
+	if finding.Key != "" {
+		text.WriteString(finding.Key + ": ")
+	}
+	text.WriteString(finding.Text)
+	if finding.Found != "" {
+		fmt.Fprintf(&text, ", found %q", finding.Found)
+	}
+	if finding.Allowed != "" {
+		fmt.Fprintf(&text, ", allowed: %s", finding.Allowed)
+	}
+	if finding.Source != "" {
+		text.WriteString("\n    " + finding.Source)
+		if finding.Place.Column > 0 {
+			text.WriteString("\n    " + strings.Repeat(" ", finding.Place.Column-1) + "^")
+		}
+	}
+	return text.String()
+}
--- /dev/null
+++ b/lib/links/links_test.go
@@ -0,0 +1,76 @@
+package links
+
+import (
+	"context"
+	"net"
+	"testing"
+
+	"github.com/smartystreets/goconvey/convey"
+	"go.uber.org/zap"
+)
+
+type echoParams struct {
+	Text string `json:"text"`
+}
+
+func serveEcho(t *testing.T, key string) string {
+	t.Helper()
+	router := NewRouter()
+	OnCall(router, "echo", func(_ context.Context, _ *Link, params echoParams) (echoParams, error) {
+		return params, nil
+	})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() {
+		_ = Serve(ctx, listener, Options{Self: Identity{Name: "b"}, Key: []byte(key), Router: router, Logger: zap.NewNop()})
+	}()
+	return listener.Addr().String()
+}
+
+// Guards against a process without the fleet key giving orders to an agent.
+func TestAuthentication(t *testing.T) {
+	convey.Convey("Given a listener with a key", t, func() {
+		address := serveEcho(t, "right")
+		options := Options{Self: Identity{Name: "a"}, Router: NewRouter(), Logger: zap.NewNop()}
+		convey.Convey("a dialler with the same key is served and sees the peer's identity", func() {
+			options.Key = []byte("right")
+			link, err := Dial(context.Background(), address, options)
+			convey.So(err, convey.ShouldBeNil)
+			defer link.Close()
+			var answer echoParams
+			convey.So(link.Call(context.Background(), "echo", echoParams{Text: "x"}, &answer), convey.ShouldBeNil)
+			convey.So(answer.Text, convey.ShouldEqual, "x")
+			convey.So(link.Peer().Name, convey.ShouldEqual, "b")
+		})
+		convey.Convey("a dialler with another key is refused", func() {
+			options.Key = []byte("wrong")
+			_, err := Dial(context.Background(), address, options)
+			convey.So(err, convey.ShouldNotBeNil)
+		})
+		convey.Convey("a call before the proof is refused", func() {
+			conn, err := net.Dial("tcp", address)
+			convey.So(err, convey.ShouldBeNil)
+			link := newLink(conn, options)
+			defer link.Close()
+			convey.So(link.Call(context.Background(), "echo", echoParams{}, nil), convey.ShouldNotBeNil)
+		})
+	})
+}
+
+// Guards against a peer that exhausts memory with one frame.
+func TestFrameLimit(t *testing.T) {
+	convey.Convey("A frame that announces more than the limit ends the link", t, func() {
+		address := serveEcho(t, "k")
+		conn, err := net.Dial("tcp", address)
+		convey.So(err, convey.ShouldBeNil)
+		_, err = conn.Write([]byte{0xff, 0xff, 0xff, 0xff, 0x7f})
+		convey.So(err, convey.ShouldBeNil)
+		buffer := make([]byte, 1)
+		_, err = conn.Read(buffer)
+		convey.So(err, convey.ShouldNotBeNil)
+	})
+}
--- /dev/null
+++ b/lib/platform/client.go
@@ -0,0 +1,243 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"firford/lib/hosts"
+)
+
+const (
+	// A request to the store ends after this time when its context has no earlier
+	// deadline. A store that is merely slow answers within a second.
+	requestTimeout = 5 * time.Second
+	// Reading weights waits on the origin's link and is bounded by progress instead.
+	weightsTimeout   = 10 * time.Minute
+	maxResponseBytes = 64 << 20
+	maxConnections   = 64
+)
+
+type (
+	// Client speaks to all services of the platform at one address. It implements
+	// Table, Objects and Membership; Weights returns the weight store. It is safe
+	// for concurrent use.
+	Client struct {
+		base  string
+		token string
+		http  *fasthttp.Client
+	}
+
+	// Weights is the client of the weight store.
+	Weights struct {
+		client *Client
+	}
+
+	transaction struct {
+		Conditions []Condition `json:"conditions"`
+		Writes     []Write     `json:"writes"`
+	}
+
+	transactionResult struct {
+		Revision int64 `json:"revision"`
+		Rows     []Row `json:"rows"`
+	}
+
+	rowList struct {
+		Rows []Row `json:"rows"`
+	}
+
+	hostList struct {
+		Hosts []hosts.Host `json:"hosts"`
+	}
+)
+
+// New returns a client of the platform at the address, an IP and port. The
+// token authenticates the process with the platform.
+func New(address, token string) *Client {
+	return &Client{
+		base:  "http://" + address,
+		token: token,
+		http: &fasthttp.Client{
+			MaxConnsPerHost:           maxConnections,
+			MaxResponseBodySize:       maxResponseBytes,
+			MaxIdemponentCallAttempts: 1,
+			Dial: func(address string) (net.Conn, error) {
+				return fasthttp.DialTimeout(address, time.Second)
+			},
+		},
+	}
+}
+
+// Weights returns the client of the weight store.
+func (client *Client) Weights() Weights {
+	return Weights{client: client}
+}
+
+// do sends one request and returns status and body. An error means that no
+// answer came; sent tells whether the request may have reached the platform.
+func (client *Client) do(ctx context.Context, method, path string, prepare func(*fasthttp.Request)) (status int, body []byte, sent bool, err error) {
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.Header.SetMethod(method)
+	request.SetRequestURI(client.base + path)
+	request.Header.Set("Authorization", "Bearer "+client.token)
+	if prepare != nil {
+		prepare(request)
+	}
+	deadline, limited := ctx.Deadline()
+	if !limited {
+		deadline = time.Now().Add(requestTimeout)
+	}
+	if ctx.Err() != nil || !time.Now().Before(deadline) {
+		return 0, nil, false, context.Cause(ctx)
+	}
+	if err := client.http.DoDeadline(request, response, deadline); err != nil {
+		return 0, nil, !isDialError(err), err
+	}
+	return response.StatusCode(), append([]byte(nil), response.Body()...), true, nil
+}
+
+// isDialError reports that no connection was made, so that nothing was sent.
+func isDialError(err error) bool {
+	var operation *net.OpError
+	return errors.Is(err, fasthttp.ErrDialTimeout) || errors.Is(err, fasthttp.ErrNoFreeConns) ||
+		errors.As(err, &operation) && operation.Op == "dial"
+}
+
+// Transact implements Table.
+func (client *Client) Transact(ctx context.Context, conditions []Condition, writes []Write) (int64, error) {
+	encoded, err := json.Marshal(transaction{Conditions: conditions, Writes: writes})
+	if err != nil {
+		return 0, fmt.Errorf("encode transaction: %w", err)
+	}
+	status, body, sent, err := client.do(ctx, fasthttp.MethodPost, "/table/transact", func(request *fasthttp.Request) {
+		request.SetBodyRaw(encoded)
+	})
+	switch {
+	case err != nil && sent:
+		return 0, fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
+	case err != nil:
+		return 0, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	case status == fasthttp.StatusServiceUnavailable || status == fasthttp.StatusTooManyRequests:
+		return 0, ErrUnavailable
+	case status != fasthttp.StatusOK && status != fasthttp.StatusConflict:
+		return 0, fmt.Errorf("%w: status %d", ErrOutcomeUnknown, status)
+	}
+	var result transactionResult
+	if err := json.Unmarshal(body, &result); err != nil {
+		return 0, fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
+	}
+	if status == fasthttp.StatusConflict {
+		return 0, &ConflictError{Rows: result.Rows}
+	}
+	return result.Revision, nil
+}
+
+// read fetches one path, into decoded where that is not nil.
+func (client *Client) read(ctx context.Context, path string, decoded any) ([]byte, error) {
+	status, body, _, err := client.do(ctx, fasthttp.MethodGet, path, nil)
+	switch {
+	case err != nil:
+		return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	case status == fasthttp.StatusNotFound:
+		return nil, ErrNotFound
+	case status != fasthttp.StatusOK:
+		return nil, fmt.Errorf("%w: status %d", ErrUnavailable, status)
+	}
+	if decoded == nil {
+		return body, nil
+	}
+	if err := json.Unmarshal(body, decoded); err != nil {
+		return nil, fmt.Errorf("decode %s: %w", path, err)
+	}
+	return body, nil
+}
+
+// Read implements Table.
+func (client *Client) Read(ctx context.Context, key string) (Row, error) {
+	var row Row
+	_, err := client.read(ctx, "/table/row?key="+url.QueryEscape(key), &row)
+	return row, err
+}
+
+// Scan implements Table.
+func (client *Client) Scan(ctx context.Context, prefix string, after int64) ([]Row, error) {
+	var list rowList
+	_, err := client.read(ctx, "/table/scan?prefix="+url.QueryEscape(prefix)+"&after="+strconv.FormatInt(after, 10), &list)
+	return list.Rows, err
+}
+
+// Get implements Objects.
+func (client *Client) Get(ctx context.Context, name string) ([]byte, error) {
+	return client.read(ctx, "/objects/"+url.PathEscape(name), nil)
+}
+
+// Put implements Objects.
+func (client *Client) Put(ctx context.Context, name string, body []byte) error {
+	return client.put(ctx, "/objects/"+url.PathEscape(name), func(request *fasthttp.Request) {
+		request.SetBodyRaw(body)
+	})
+}
+
+func (client *Client) put(ctx context.Context, path string, prepare func(*fasthttp.Request)) error {
+	status, _, sent, err := client.do(ctx, fasthttp.MethodPut, path, prepare)
+	switch {
+	case err != nil && sent:
+		return fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
+	case err != nil:
+		return fmt.Errorf("%w: %w", ErrUnavailable, err)
+	case status != fasthttp.StatusOK:
+		return fmt.Errorf("%w: status %d", ErrUnavailable, status)
+	}
+	return nil
+}
+
+// List implements Membership.
+func (client *Client) List(ctx context.Context) ([]hosts.Host, error) {
+	var list hostList
+	_, err := client.read(ctx, "/membership", &list)
+	return list.Hosts, err
+}
+
+// Put implements WeightStore.
+func (weights Weights) Put(ctx context.Context, name string, body io.Reader, size int64) error {
+	ctx, cancel := context.WithTimeout(ctx, weightsTimeout)
+	defer cancel()
+	return weights.client.put(ctx, "/weights/"+url.PathEscape(name), func(request *fasthttp.Request) {
+		request.SetBodyStream(body, int(size))
+	})
+}
+
+// ReadRange implements WeightStore. It waits for the origin's link; the context
+// bounds it.
+func (weights Weights) ReadRange(ctx context.Context, name string, offset, length int64) ([]byte, error) {
+	if _, limited := ctx.Deadline(); !limited {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, weightsTimeout)
+		defer cancel()
+	}
+	status, body, _, err := weights.client.do(ctx, fasthttp.MethodGet, "/weights/"+url.PathEscape(name), func(request *fasthttp.Request) {
+		request.Header.SetByteRange(int(offset), int(offset+length-1))
+	})
+	switch {
+	case err != nil:
+		return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	case status == fasthttp.StatusNotFound:
+		return nil, ErrNotFound
+	case status != fasthttp.StatusPartialContent:
+		return nil, fmt.Errorf("%w: status %d", ErrUnavailable, status)
+	case int64(len(body)) != length:
+		return nil, fmt.Errorf("weights %s: %d bytes instead of %d", name, len(body), length)
+	}
+	return body, nil
+}
--- /dev/null
+++ b/scripts/processes.sh
@@ -0,0 +1,40 @@
+# Functions for scripts that run several processes of the system. Each process
+# is stopped by its id when the script ends, also when it is interrupted.
+# Source it: `source scripts/processes.sh`.
+
+PROCESS_IDS=()
+
+# start NAME COMMAND... runs the command in the background with its log under $RUN.
+start() {
+  local name=$1
+  shift
+  "$@" >"$RUN/$name.log" 2>&1 &
+  PROCESS_IDS+=($!)
+  echo $! >"$RUN/$name.pid"
+}
+
+# stop_all ends every process that this script started.
+stop_all() {
+  trap - EXIT INT TERM
+  local id
+  for id in "${PROCESS_IDS[@]}"; do kill -CONT "$id" 2>/dev/null; kill -TERM "$id" 2>/dev/null; done
+  for id in "${PROCESS_IDS[@]}"; do
+    for _ in $(seq 50); do kill -0 "$id" 2>/dev/null || break; sleep 0.1; done
+    kill -KILL "$id" 2>/dev/null
+  done
+  wait 2>/dev/null
+}
+
+trap stop_all EXIT
+trap 'exit 130' INT TERM
+
+# wait_ready ADDRESS waits until GET /ready at the address answers 200.
+wait_ready() {
+  local address=$1
+  for _ in $(seq 300); do
+    curl -fs -o /dev/null "http://$address/ready" && return 0
+    sleep 0.1
+  done
+  echo "not ready: $address" >&2
+  return 1
+}
