Add the stand-in for engines and plain services

Tokens are a function of request, prompt, index and version (cmd/fakeengine/tokens), so a caller can verify an answer.

--- a/cmd/fakeengine/main.go
+++ b/cmd/fakeengine/main.go
@@ -1,4 +1,25 @@
-// Program fakeengine is not built yet.
+// Program fakeengine stands in for engines and plain services.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alexflint/go-arg"
+
+	"firford/cmd/fakeengine/fake"
+)
+
+func main() {
+	settings := fake.DefaultSettings()
+	arg.MustParse(&settings)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := fake.Serve(ctx, settings); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/cmd/fakeengine/tokens/tokens.go
@@ -0,0 +1,54 @@
+// Package tokens computes what the fake backend servers answer. Every token is
+// a function of the request, the prompt, the position and the version, so that
+// a caller can verify from outside that an answer is whole, is its own and comes
+// from one version. Random text was rejected because it can only be compared
+// with a recording made on the server's side.
+package tokens
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Answer computes the tokens of one answer. It is immutable.
+type Answer struct {
+	seed uint64
+}
+
+// New returns the answer of the version to the request with the prompt.
+func New(requestID, prompt, version string) Answer {
+	return Answer{seed: hash(requestID, prompt, version)}
+}
+
+// At returns the token at the index; the first has index 1.
+func (answer Answer) At(index int) string {
+	mixed := hash(strconv.FormatUint(answer.seed, 16), strconv.Itoa(index))
+	return " " + strconv.FormatUint(mixed&0xffffff|0x1000000, 36)
+}
+
+// Text returns the tokens from the first index to the last, inclusive.
+func (answer Answer) Text(first, last int) string {
+	var text strings.Builder
+	for index := first; index <= last; index++ {
+		text.WriteString(answer.At(index))
+	}
+	return text.String()
+}
+
+// Result returns what a plain service answers to a call.
+func Result(requestID, call string, arguments []byte) string {
+	return strconv.FormatUint(hash(requestID, call, string(arguments)), 16)
+}
+
+// hash separates the fields by their lengths, so that moving text from one
+// field to the next changes the result.
+func hash(fields ...string) uint64 {
+	digest := xxhash.New()
+	for _, field := range fields {
+		_, _ = digest.WriteString(strconv.Itoa(len(field)) + ":")
+		_, _ = digest.WriteString(field)
+	}
+	return digest.Sum64()
+}
