--- /dev/null
+++ b/lib/admissions/jobs.go
@@ -0,0 +1,90 @@
+package admissions
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"firford/lib/configurations"
+	"firford/lib/requests"
+)
+
+const (
+	defaultMaxTokens = 256
+	mostMaxTokens    = 16_384
+	maxBodyBytes     = 1 << 20
+	maxPriority      = 9
+)
+
+type (
+	// job is what the backend server is asked to do: generation or call.
+	job interface {
+		job()
+	}
+
+	generation struct {
+		prompt    string
+		maxTokens int
+		after     int
+	}
+
+	call struct {
+		name      string
+		arguments json.RawMessage
+	}
+
+	generationBody struct {
+		Prompt    string `json:"prompt"`
+		MaxTokens *int   `json:"max_tokens"`
+	}
+
+	callBody struct {
+		Call      string          `json:"call"`
+		Arguments json.RawMessage `json:"arguments"`
+	}
+
+	// textBody is the body of an answer that isn't streamed.
+	textBody struct {
+		Text string `json:"text"`
+	}
+)
+
+func (generation) job() {}
+func (call) job()       {}
+
+// decodeJob reads a request's body for a deployment of the type.
+func decodeJob(deploymentType string, request requests.Request) (job, error) {
+	switch deploymentType {
+	case configurations.DeploymentEngine:
+		return decodeGeneration(request)
+	case configurations.DeploymentService:
+		return decodeCall(request)
+	default:
+		return nil, fmt.Errorf("unknown type of deployment %q", deploymentType)
+	}
+}
+
+func decodeGeneration(request requests.Request) (job, error) {
+	var body generationBody
+	if err := json.Unmarshal(request.Body, &body); err != nil {
+		return nil, fmt.Errorf("body: %w", err)
+	}
+	most := defaultMaxTokens
+	if body.MaxTokens != nil {
+		most = *body.MaxTokens
+	}
+	if most < 1 || most > mostMaxTokens {
+		return nil, fmt.Errorf("max_tokens %d: allowed are 1 to %d", most, mostMaxTokens)
+	}
+	return generation{prompt: body.Prompt, maxTokens: most, after: request.AfterPart}, nil
+}
+
+func decodeCall(request requests.Request) (job, error) {
+	var body callBody
+	if err := json.Unmarshal(request.Body, &body); err != nil {
+		return nil, fmt.Errorf("body: %w", err)
+	}
+	if body.Call == "" {
+		return nil, fmt.Errorf("call: missing")
+	}
+	return call{name: body.Call, arguments: body.Arguments}, nil
+}
