--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -1,4 +1,41 @@
-// Program bench is not built yet.
+// Command bench generates load and measures the system. Each measurement is a
+// package of its own; main parses the arguments and calls the one that was asked for.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alexflint/go-arg"
+)
+
+type (
+	// command is a measurement that was asked for on the command line.
+	command interface {
+		Run(ctx context.Context) error
+	}
+
+	arguments struct{}
+)
+
+func (arguments) Description() string {
+	return "Generates load and measures the system. The make targets whose names start with bench_ call it."
+}
+
+func main() {
+	var given arguments
+	parser := arg.MustParse(&given)
+	chosen, asked := parser.Subcommand().(command)
+	if !asked {
+		parser.Fail("name a measurement")
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := chosen.Run(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "bench:", err)
+		os.Exit(1)
+	}
+}
--- a/lib/links/links.go
+++ b/lib/links/links.go
@@ -79,6 +79,8 @@
 		peer     Identity
 		nonce    string
 		inFlight chan struct{}
+		// ready is closed once rpc is set: the handler may run before NewConn returns.
+		ready chan struct{}
 
 		mutex  sync.Mutex
 		proven bool
@@ -149,12 +151,11 @@
 		stream:   &countedConn{Conn: conn, silence: SilenceLimit},
 		nonce:    newNonce(),
 		inFlight: make(chan struct{}, maxCallsInFlight),
+		ready:    make(chan struct{}),
 	}
 	stream := jsonrpc2.NewBufferedStream(link.stream, boundedCodec{})
-	// The handler may run before NewConn returns, so the link's mutex guards rpc.
-	link.mutex.Lock()
 	link.rpc = jsonrpc2.NewConn(context.Background(), stream, link, jsonrpc2.SetLogger(silentLogger{}))
-	link.mutex.Unlock()
+	close(link.ready)
 	return link
 }
 
@@ -268,8 +269,7 @@
 // Handle implements jsonrpc2.Handler. It runs in the connection's read loop, so
 // that notifications keep their order; requests continue in a goroutine each.
 func (link *Link) Handle(_ context.Context, _ *jsonrpc2.Conn, request *jsonrpc2.Request) {
-	link.mutex.Lock()
-	link.mutex.Unlock() //nolint:staticcheck // Waits until newLink has set rpc.
+	<-link.ready
 	switch request.Method {
 	case methodHello:
 		link.onHello(request)
