Add a stand-in for the network that silences open connections

Connections that go silent for good while new ones work are one of the faults to expect, and neither closing sockets nor freezing a process causes it. The relay discards what arrives on the connections that are open at that moment, keeps them open and forwards new ones.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Every job of a maintainer. `make help` lists them.
 OUT  := out
 BIN  := $(OUT)/bin
-PROGRAMS := entry agent firford fakeplatform fakeengine bench
+PROGRAMS := entry agent firford fakeplatform fakeengine fakenetwork bench
 GO_FILES = $$(git ls-files --cached --others --exclude-standard '*.go' | grep -v '\.pb\.go$$')
 
 
--- /dev/null
+++ b/cmd/fakenetwork/relay/relay_test.go
@@ -0,0 +1,81 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"testing"
+
+	"github.com/smartystreets/goconvey/convey"
+)
+
+func echoServer(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() { _, _ = io.Copy(conn, conn) }()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+func dial(address string) net.Conn {
+	for {
+		if conn, err := net.Dial("tcp", address); err == nil {
+			return conn
+		}
+	}
+}
+
+func echoed(conn net.Conn) string {
+	_, _ = conn.Write([]byte("hello\n"))
+	line, _ := bufio.NewReader(conn).ReadString('\n')
+	return line
+}
+
+// Guards against a silent-connection fault that also breaks new connections or
+// closes the old ones: the tests that rely on it would then prove nothing.
+func TestSilentConnections(t *testing.T) {
+	convey.Convey("Given a route with an open connection that works", t, func() {
+		address := freeAddress(t)
+		network := New([]Route{{Name: "a", Listen: address, Target: echoServer(t)}})
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go func() { _ = network.Run(ctx) }()
+		old := dial(address)
+		convey.So(echoed(old), convey.ShouldEqual, "hello\n")
+		convey.Convey("after the fault a new connection works and the old one stays open and unread", func() {
+			convey.So(network.Set("a", FaultSilent), convey.ShouldBeNil)
+			_, err := old.Write([]byte("lost\n"))
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(echoed(dial(address)), convey.ShouldEqual, "hello\n")
+		})
+		convey.Convey("a cut closes it", func() {
+			convey.So(network.Set("a", FaultCut), convey.ShouldBeNil)
+			_, err := old.Read(make([]byte, 1))
+			convey.So(err, convey.ShouldNotBeNil)
+		})
+		convey.So(network.Set("b", FaultCut), convey.ShouldNotBeNil)
+		convey.So(network.Set("a", "other"), convey.ShouldNotBeNil)
+	})
+}
