Write the files of a small fleet from one plan

Demo and long run start some forty processes whose ports, settings and lists have to agree. A plan now yields the settings, the platform's host list, the network's routes, the secrets and the process list; a golden test shows them.

Measured: go test firford/cmd/bench/fleet passes; nothing has been started from the files yet.

--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -10,6 +10,8 @@
 	"syscall"
 
 	"github.com/alexflint/go-arg"
+
+	"firford/cmd/bench/fleet"
 )
 
 type (
@@ -18,7 +20,9 @@
 		Run(ctx context.Context) error
 	}
 
-	arguments struct{}
+	arguments struct {
+		Fleet *fleet.Command `arg:"subcommand:fleet" help:"write the settings, lists and command lines of a fleet on this machine"`
+	}
 )
 
 func (arguments) Description() string {
