Add the stand-in for the platform

Cause: table, objects, weight origin and membership list are services of the platform; tests, demos and the bench need them on this machine, with their faults.

Change: cmd/fakeplatform serves all four over HTTP as the client of lib/platform expects them, with limits of writes and reads, a rate-limited link of the origin, a lagging membership list, switches for outages, delays, lost answers and silent connections, and counters.

--- a/cmd/fakeplatform/main.go
+++ b/cmd/fakeplatform/main.go
@@ -1,4 +1,72 @@
-// Program fakeplatform is not built yet.
+// Program fakeplatform stands in for the platform's services on one address, so
+// that demos, benches and long runs need nothing outside this repository.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/alexflint/go-arg"
+
+	"firford/cmd/fakeplatform/server"
+)
+
+type arguments struct {
+	Listen          string        `arg:"--listen" default:"127.0.0.1:7000" help:"address of all services"`
+	TokenFile       string        `arg:"--token-file" help:"file with the bearer token that every caller must send; none: no authentication"`
+	Hosts           string        `arg:"--hosts" help:"JSON file with the list of hosts at the start"`
+	OriginBytesPerS int64         `arg:"--origin-bytes-per-s" default:"0" help:"rate of the origin's link; 0: no limit"`
+	WritesPerS      int           `arg:"--writes-per-s" default:"400" help:"writes to table and objects; above: 429"`
+	ReadsPerS       int           `arg:"--reads-per-s" default:"2000" help:"reads of table, objects and membership; above: 429"`
+	MembershipLag   time.Duration `arg:"--membership-lag" default:"0s" help:"time until a change of the membership list is visible"`
+}
+
+// Description is printed above the help text.
+func (arguments) Description() string {
+	return "fakeplatform: table, objects, weight origin and membership list for tests"
+}
+
+func main() {
+	var given arguments
+	arg.MustParse(&given)
+	if err := run(given); err != nil {
+		fmt.Fprintln(os.Stderr, "fakeplatform:", err)
+		os.Exit(1)
+	}
+}
+
+func run(given arguments) error {
+	settings := server.Settings{
+		OriginBytesPerSecond: given.OriginBytesPerS,
+		WritesPerSecond:      given.WritesPerS,
+		ReadsPerSecond:       given.ReadsPerS,
+		MembershipLag:        given.MembershipLag,
+	}
+	if given.TokenFile != "" {
+		token, err := os.ReadFile(given.TokenFile)
+		if err != nil {
+			return fmt.Errorf("read token: %w", err)
+		}
+		settings.Token = strings.TrimSpace(string(token))
+	}
+	if given.Hosts != "" {
+		list, err := server.ReadHosts(given.Hosts)
+		if err != nil {
+			return err
+		}
+		settings.Hosts = list
+	}
+	listener, err := net.Listen("tcp", given.Listen)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	return server.New(settings).Serve(ctx, listener)
+}
--- /dev/null
+++ b/cmd/fakeplatform/server/server_test.go
@@ -0,0 +1,210 @@
+package server
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+	"github.com/valyala/fasthttp"
+
+	"firford/lib/hosts"
+	"firford/lib/platform"
+)
+
+const testToken = "t"
+
+// start serves the settings on a free port and returns its address.
+func start(t *testing.T, settings Settings) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	settings.Token = testToken
+	go func() {
+		defer close(ended)
+		_ = New(settings).Serve(ctx, listener)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	return listener.Addr().String()
+}
+
+func setFaults(address, change string) FaultState {
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	request.Header.SetMethod(fasthttp.MethodPost)
+	request.SetRequestURI("http://" + address + "/faults")
+	request.SetBodyString(change)
+	convey.So((&fasthttp.Client{}).Do(request, response), convey.ShouldBeNil)
+	var state FaultState
+	convey.So(json.Unmarshal(response.Body(), &state), convey.ShouldBeNil)
+	return state
+}
+
+func counters(address string) Counters {
+	_, body, err := fasthttp.Get(nil, "http://"+address+"/counters")
+	convey.So(err, convey.ShouldBeNil)
+	var total Counters
+	convey.So(json.Unmarshal(body, &total), convey.ShouldBeNil)
+	return total
+}
+
+// Guards against a stand-in that is laxer than the real table: lost updates,
+// half transactions, scans that miss a write.
+func TestTransactions(t *testing.T) {
+	ctx := context.Background()
+	convey.Convey("Given an empty table", t, func() {
+		client := platform.New(start(t, Settings{}), testToken)
+		absent := []platform.Condition{{Key: "a/1"}}
+		write := []platform.Write{{Key: "a/1", Value: []byte("x")}, {Key: "b/1", Value: []byte("y")}}
+		first, err := client.Transact(ctx, absent, write)
+		convey.So(err, convey.ShouldBeNil)
+
+		convey.Convey("a failed condition writes nothing and returns the row as it is", func() {
+			_, err := client.Transact(ctx, absent, []platform.Write{{Key: "a/2", Value: []byte("z")}})
+			var conflict *platform.ConflictError
+			convey.So(errors.As(err, &conflict), convey.ShouldBeTrue)
+			row, _ := conflict.Row("a/1")
+			convey.So(row, convey.ShouldResemble, platform.Row{Key: "a/1", Value: []byte("x"), Revision: first})
+			_, err = client.Read(ctx, "a/2")
+			convey.So(err, convey.ShouldEqual, platform.ErrNotFound)
+		})
+		convey.Convey("a scan returns what changed after the revision, in order", func() {
+			second, err := client.Transact(ctx, []platform.Condition{{Key: "a/1", Revision: first}}, []platform.Write{{Key: "a/1", Value: []byte("x2")}})
+			convey.So(err, convey.ShouldBeNil)
+			rows, err := client.Scan(ctx, "a/", first)
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(rows, convey.ShouldResemble, []platform.Row{{Key: "a/1", Value: []byte("x2"), Revision: second}})
+		})
+		convey.Convey("a deleted row does not exist for a condition", func() {
+			_, err := client.Transact(ctx, nil, []platform.Write{{Key: "a/1", Delete: true}})
+			convey.So(err, convey.ShouldBeNil)
+			_, err = client.Transact(ctx, absent, write)
+			convey.So(err, convey.ShouldBeNil)
+		})
+		convey.Convey("a caller without the token is refused", func() {
+			_, err := platform.New(start(t, Settings{}), "other").Read(ctx, "a/1")
+			convey.So(errors.Is(err, platform.ErrUnavailable), convey.ShouldBeTrue)
+		})
+	})
+}
+
+// Guards against fault switches that do not do what the tests above them rely
+// on: a lost answer must leave the write in effect, an outage must not.
+func TestFaults(t *testing.T) {
+	ctx := context.Background()
+	write := []platform.Write{{Key: "a", Value: []byte("x")}}
+	convey.Convey("Given a server", t, func() {
+		address := start(t, Settings{WritesPerSecond: 3, ReadsPerSecond: 5})
+		client := platform.New(address, testToken)
+		convey.Convey("a lost answer leaves the write in effect", func() {
+			setFaults(address, `{"lose_answers":1,"seed":7}`)
+			_, err := client.Transact(ctx, nil, write)
+			convey.So(errors.Is(err, platform.ErrOutcomeUnknown), convey.ShouldBeTrue)
+			row, err := client.Read(ctx, "a")
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(string(row.Value), convey.ShouldEqual, "x")
+			convey.So(counters(address).LostAnswers, convey.ShouldEqual, 1)
+		})
+		convey.Convey("an outage refuses writes, which then have no effect", func() {
+			setFaults(address, `{"outage":true}`)
+			_, err := client.Transact(ctx, nil, write)
+			convey.So(errors.Is(err, platform.ErrUnavailable), convey.ShouldBeTrue)
+			setFaults(address, `{"outage":false}`)
+			_, err = client.Read(ctx, "a")
+			convey.So(err, convey.ShouldEqual, platform.ErrNotFound)
+		})
+		convey.Convey("writes above the limit are refused and counted", func() {
+			refused := 0
+			for range 20 {
+				if _, err := client.Transact(ctx, nil, write); errors.Is(err, platform.ErrUnavailable) {
+					refused++
+				}
+			}
+			convey.So(refused, convey.ShouldBeGreaterThan, 0)
+			convey.So(counters(address).RefusedWrites, convey.ShouldEqual, refused)
+			convey.So(counters(address).WritesByPrefix["a"], convey.ShouldEqual, 20-refused)
+		})
+		convey.Convey("a frozen connection stays silent while a new one works", func() {
+			convey.So(client.Put(ctx, "o", []byte("1")), convey.ShouldBeNil)
+			convey.So(setFaults(address, `{"freeze":true}`).Frozen, convey.ShouldBeGreaterThan, 0)
+			limited, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
+			defer cancel()
+			_, err := client.Get(limited, "o")
+			convey.So(errors.Is(err, platform.ErrUnavailable), convey.ShouldBeTrue)
+			body, err := platform.New(address, testToken).Get(ctx, "o")
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(string(body), convey.ShouldEqual, "1")
+		})
+	})
+}
+
+// Guards against an origin that serves other bytes than the asked range, counts
+// wrongly, or ignores its outage.
+func TestOrigin(t *testing.T) {
+	ctx := context.Background()
+	convey.Convey("Given weights in the origin", t, func() {
+		address := start(t, Settings{OriginBytesPerSecond: 4 << 20})
+		store := platform.New(address, testToken).Weights()
+		content := bytes.Repeat([]byte("0123456789abcdef"), 8<<10)
+		convey.So(store.Put(ctx, "plant/v1", bytes.NewReader(content), int64(len(content))), convey.ShouldBeNil)
+		convey.Convey("a range is returned exactly and counted", func() {
+			part, err := store.ReadRange(ctx, "plant/v1", 5, 100_000)
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(bytes.Equal(part, content[5:100_005]), convey.ShouldBeTrue)
+			convey.So(counters(address).OriginBytes, convey.ShouldEqual, 100_000)
+		})
+		convey.Convey("an outage refuses reads", func() {
+			setFaults(address, `{"origin_outage":true}`)
+			_, err := store.ReadRange(ctx, "plant/v1", 0, 10)
+			convey.So(errors.Is(err, platform.ErrUnavailable), convey.ShouldBeTrue)
+		})
+	})
+}
+
+// Guards against a membership list that shows changes early or out of order.
+func TestMembershipLag(t *testing.T) {
+	convey.Convey("A change is visible at its time, not before", t, func() {
+		start := time.Unix(1000, 0)
+		list := newMembership([]hosts.Host{{Name: "a"}})
+		list.change(memberChange{name: "b", host: hosts.Host{Name: "b", Leaving: true}, visibleAt: start.Add(2 * time.Second)})
+		list.change(memberChange{name: "a", removed: true, visibleAt: start.Add(3 * time.Second)})
+		for second, want := range [][]string{{"a"}, {"a"}, {"a", "b"}, {"b"}} {
+			var names []string
+			for _, host := range list.list(start.Add(time.Duration(second) * time.Second)) {
+				names = append(names, host.Name)
+			}
+			convey.So(names, convey.ShouldResemble, want)
+		}
+	})
+	convey.Convey("Hosts are registered and removed over HTTP", t, func() {
+		address := start(t, Settings{})
+		client := platform.New(address, testToken)
+		for _, name := range []string{"x", "y"} {
+			send(fasthttp.MethodPut, address, name)
+		}
+		send(fasthttp.MethodDelete, address, "x")
+		list, err := client.List(context.Background())
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(list, convey.ShouldResemble, []hosts.Host{{Name: "y", Role: hosts.RoleAgent, Leaving: true}})
+	})
+}
+
+func send(method, address, name string) {
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	request.Header.SetMethod(method)
+	request.Header.Set("Authorization", "Bearer "+testToken)
+	request.SetRequestURI("http://" + address + "/membership/" + name)
+	request.SetBodyString(`{"role":"agent","leaving":true}`)
+	convey.So((&fasthttp.Client{}).Do(request, response), convey.ShouldBeNil)
+	convey.So(response.StatusCode(), convey.ShouldEqual, fasthttp.StatusOK)
+}
--- /dev/null
+++ b/cmd/fakeplatform/server/table.go
@@ -0,0 +1,77 @@
+package server
+
+import (
+	"slices"
+	"strings"
+	"sync"
+
+	"firford/lib/platform"
+)
+
+// table is the transactional table. One mutex serialises all transactions: the
+// real service promises a total order, and the rates here are far below what a
+// lock costs.
+type table struct {
+	mutex    sync.Mutex
+	revision int64
+	rows     map[string]platform.Row
+}
+
+func newTable() *table {
+	return &table{rows: map[string]platform.Row{}}
+}
+
+// transact makes all writes if all conditions hold. Otherwise it returns the
+// rows that did not meet their condition and writes nothing.
+func (table *table) transact(conditions []platform.Condition, writes []platform.Write) (int64, []platform.Row) {
+	table.mutex.Lock()
+	defer table.mutex.Unlock()
+	var conflicts []platform.Row
+	for _, condition := range conditions {
+		row, known := table.rows[condition.Key]
+		if !known {
+			row.Key = condition.Key
+		}
+		if row.Revision != condition.Revision {
+			conflicts = append(conflicts, row)
+		}
+	}
+	if len(conflicts) > 0 {
+		return 0, conflicts
+	}
+	table.revision++
+	for _, write := range writes {
+		if write.Delete {
+			delete(table.rows, write.Key)
+			continue
+		}
+		table.rows[write.Key] = platform.Row{Key: write.Key, Value: write.Value, Revision: table.revision}
+	}
+	return table.revision, nil
+}
+
+func (table *table) read(key string) (platform.Row, bool) {
+	table.mutex.Lock()
+	defer table.mutex.Unlock()
+	row, known := table.rows[key]
+	return row, known
+}
+
+// scan returns rows ordered by revision, then key. A deleted row leaves no trace.
+func (table *table) scan(prefix string, after int64) []platform.Row {
+	table.mutex.Lock()
+	defer table.mutex.Unlock()
+	rows := []platform.Row{}
+	for key, row := range table.rows {
+		if row.Revision > after && strings.HasPrefix(key, prefix) {
+			rows = append(rows, row)
+		}
+	}
+	slices.SortFunc(rows, func(a, b platform.Row) int {
+		if a.Revision != b.Revision {
+			return int(a.Revision - b.Revision)
+		}
+		return strings.Compare(a.Key, b.Key)
+	})
+	return rows
+}
