--- a/lib/configurations/snapshot.go
+++ b/lib/configurations/snapshot.go
@@ -75,6 +75,18 @@
 	return entry.Object.(T), entry.Revision, true
 }
 
+// lastChange returns the revision of an object's last change, zero if it does
+// not exist.
+func (snapshot Snapshot) lastChange(kind, name string) int64 {
+	return snapshot.objects[objectKey{kind: kind, name: name}].Revision
+}
+
+// Find returns the object of the kind with the name.
+func (snapshot Snapshot) Find(kind, name string) (Entry, bool) {
+	entry, found := snapshot.objects[objectKey{kind: kind, name: name}]
+	return entry, found
+}
+
 // All returns the objects of the type, ordered by name.
 func All[T Object](snapshot Snapshot) []T {
 	var kind T
