--- a/lib/hosts/hosts.go
+++ b/lib/hosts/hosts.go
@@ -71,23 +71,26 @@
 
 // Neighbours returns about count hosts that self exchanges data with. The
 // relation is symmetric: each host picks count/2 others by rank, and a host is
-// a neighbour when either has picked the other. It costs O(n²) hashes, a few
-// milliseconds at 270 hosts, so callers keep the result until membership changes.
+// a neighbour when either has picked the other. Callers keep the result until
+// membership changes.
 func Neighbours(self string, all []Host, count int) []Host {
 	picks := max(1, count/2)
-	var near []Host
-	for _, host := range all {
-		if host.Name == self {
-			continue
-		}
-		if picked(self, host.Name, all, picks) || picked(host.Name, self, all, picks) {
-			near = append(near, host)
+	own := map[string]bool{}
+	others := Select(all, func(host Host) bool { return host.Name != self })
+	for i, host := range Rank(self, others) {
+		if i >= picks {
+			break
 		}
+		own[host.Name] = true
 	}
-	return near
+	return Select(others, func(host Host) bool {
+		return own[host.Name] || picked(host.Name, self, all, picks)
+	})
 }
 
 // picked reports whether the chooser ranks the candidate among its first picks.
+// It stops at the first hosts that rank better, which for most choosers come
+// early, so that Neighbours costs about n*picks hashes and not n*n.
 func picked(chooser, candidate string, all []Host, picks int) bool {
 	own := score(chooser, candidate)
 	better := 0
--- /dev/null
+++ b/lib/hosts/hosts_test.go
@@ -0,0 +1,184 @@
+package hosts
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+	"go.uber.org/zap"
+	"pgregory.net/rapid"
+
+	_ "firford/lib/fixedseed"
+)
+
+type fakeList struct {
+	mutex sync.Mutex
+	list  []Host
+	err   error
+	reads int
+}
+
+func (fake *fakeList) List(context.Context) ([]Host, error) {
+	fake.mutex.Lock()
+	defer fake.mutex.Unlock()
+	fake.reads++
+	return fake.list, fake.err
+}
+
+func (fake *fakeList) set(list []Host, err error) {
+	fake.mutex.Lock()
+	defer fake.mutex.Unlock()
+	fake.list, fake.err = list, err
+}
+
+func fleet(count int) []Host {
+	var all []Host
+	for i := range count {
+		all = append(all, Host{Name: fmt.Sprintf("host-%04d", i), Address: "127.0.0.1:1"})
+	}
+	return all
+}
+
+// Guards against a host that exchanges data with a host that ignores it, and
+// against parts of the fleet that no message reaches.
+func TestNeighboursSymmetricAndConnected(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		all := fleet(rapid.IntRange(2, 60).Draw(t, "hosts"))
+		near := map[string][]string{}
+		for _, host := range all {
+			for _, other := range Neighbours(host.Name, all, 6) {
+				near[host.Name] = append(near[host.Name], other.Name)
+			}
+		}
+		reached := map[string]bool{all[0].Name: true}
+		for queue := []string{all[0].Name}; len(queue) > 0; queue = queue[1:] {
+			for _, other := range near[queue[0]] {
+				if !reached[other] {
+					reached[other] = true
+					queue = append(queue, other)
+				}
+			}
+		}
+		if len(reached) != len(all) {
+			t.Fatalf("%d of %d hosts reached", len(reached), len(all))
+		}
+		for name, others := range near {
+			for _, other := range others {
+				if !contains(near[other], name) {
+					t.Fatalf("%s has neighbour %s, but not the reverse", name, other)
+				}
+			}
+		}
+	})
+}
+
+func contains(names []string, name string) bool {
+	for _, each := range names {
+		if each == name {
+			return true
+		}
+	}
+	return false
+}
+
+// Guards against work for a host that can't answer, and against hosts given up
+// on the word of one observer.
+func TestDecide(t *testing.T) {
+	start := time.Unix(1000, 0)
+	heard := Sighting{}.WithMessage(start)
+	for _, example := range []struct {
+		name     string
+		host     Host
+		listed   bool
+		sighting Sighting
+		after    time.Duration
+		want     State
+	}{
+		{"two heartbeats lost", Host{}, true, heard, 2900 * time.Millisecond, Live},
+		{"three heartbeats lost", Host{}, true, heard, 3 * time.Second, Silent},
+		{"silent, new connection works", Host{}, true, heard.WithFailedConnection(start).WithMessage(start.Add(4 * time.Second)), 5 * time.Second, Live},
+		{"silent, new connection not tried", Host{}, true, heard, time.Hour, Silent},
+		{"silent, new connection fails", Host{}, true, heard.WithFailedConnection(start.Add(4 * time.Second)), 6 * time.Second, Frozen},
+		{"never reached", Host{}, true, Sighting{}, 0, Silent},
+		{"the platform says leaving", Host{Leaving: true}, true, heard, time.Second, Leaving},
+		{"the host says leaving", Host{}, true, heard.WithDrain(true), time.Second, Leaving},
+		{"not in the list, though it speaks", Host{}, false, heard, 0, Removed},
+	} {
+		convey.Convey(example.name, t, func() {
+			convey.So(Decide(example.host, example.listed, example.sighting, start.Add(example.after)), convey.ShouldEqual, example.want)
+		})
+	}
+}
+
+// Guards against an entry that takes its own broken network for many broken
+// hosts, and against doubt where single hosts fail.
+func TestDoubt(t *testing.T) {
+	convey.Convey("Given twelve observed hosts", t, func() {
+		now := time.Unix(1000, 0)
+		observe := func(silent int, quiet time.Duration) []Sighting {
+			var all []Sighting
+			for i := range 12 {
+				at := now
+				if i < silent {
+					at = now.Add(-quiet)
+				}
+				all = append(all, Sighting{}.WithMessage(at))
+			}
+			return all
+		}
+		convey.So(DoubtsOwnNetwork(observe(4, 4*time.Second), now), convey.ShouldBeFalse)
+		convey.So(DoubtsOwnNetwork(observe(5, 4*time.Second), now), convey.ShouldBeTrue)
+		convey.So(DoubtsOwnNetwork(observe(5, time.Minute), now), convey.ShouldBeFalse)
+		convey.So(DoubtsOwnNetwork(observe(5, time.Second), now), convey.ShouldBeFalse)
+	})
+}
+
+// Guards against a process that loses its hosts because the list can't be read.
+func TestWatcherKeepsListDuringOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fake := &fakeList{list: fleet(3)}
+		watcher := NewWatcher(fake, zap.NewNop())
+		ctx, cancel := context.WithCancel(t.Context())
+		go watcher.Run(ctx)
+		synctest.Wait()
+		fake.set(nil, errors.New("outage"))
+		time.Sleep(time.Hour)
+		if got := len(watcher.Current()); got != 3 {
+			t.Errorf("%d hosts during the outage, want 3", got)
+		}
+		fake.set(nil, nil)
+		time.Sleep(time.Minute)
+		if got := len(watcher.Current()); got != 3 {
+			t.Errorf("%d hosts after an empty list, want 3", got)
+		}
+		fake.set(fleet(4), nil)
+		time.Sleep(time.Minute)
+		if got := len(watcher.Current()); got != 4 {
+			t.Errorf("%d hosts after the outage, want 4", got)
+		}
+		cancel()
+	})
+}
+
+// Guards against a list of a large fleet that takes the whole control traffic.
+func TestWatcherBoundsBytes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fake := &fakeList{list: fleet(1290)}
+		watcher := NewWatcher(fake, zap.NewNop())
+		ctx, cancel := context.WithCancel(t.Context())
+		go watcher.Run(ctx)
+		time.Sleep(10 * time.Minute)
+		synctest.Wait()
+		fake.mutex.Lock()
+		defer fake.mutex.Unlock()
+		if rate := float64(fake.reads*watcher.bytes) / 600; rate > 1.3*listBytesPerSecond {
+			t.Errorf("%.0f bytes/s", rate)
+		}
+		cancel()
+	})
+}
--- /dev/null
+++ b/lib/processes/tokens.go
@@ -0,0 +1,97 @@
+package processes
+
+// This file reads the operators' tokens. The file holds hashes only, so that
+// reading it gives nobody access.
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"os"
+	"strings"
+
+	"firford/lib/findings"
+)
+
+type (
+	// Tokens are the operators by the SHA-256 of their bearer token. The zero
+	// value accepts nobody.
+	Tokens struct {
+		all []operatorToken
+	}
+
+	operatorToken struct {
+		name string
+		hash [sha256.Size]byte
+	}
+)
+
+// Operator returns the name of the operator who holds the token. It compares
+// with every hash in constant time, so that the time tells nothing.
+func (tokens Tokens) Operator(token string) (string, bool) {
+	given := sha256.Sum256([]byte(token))
+	name, found := "", false
+	for _, each := range tokens.all {
+		if subtle.ConstantTimeCompare(given[:], each.hash[:]) == 1 {
+			name, found = each.name, true
+		}
+	}
+	return name, found
+}
+
+// ParseTokens reads lines of a name and a hash in hex. Empty lines and lines
+// that start with # are skipped. path serves only to name places.
+func ParseTokens(path, text string) (Tokens, findings.List) {
+	var tokens Tokens
+	var problems findings.List
+	names := map[string]bool{}
+	for i, source := range strings.Split(text, "\n") {
+		line := strings.TrimSpace(source)
+		if line == "" || strings.HasPrefix(line, "#") {
+			continue
+		}
+		token, problem := parseToken(line)
+		if problem == "" && names[token.name] {
+			problem = "an operator is named twice"
+		}
+		if problem != "" {
+			problems = problems.With(findings.Finding{
+				Place: findings.Place{File: path, Line: i + 1}, Text: problem,
+				Allowed: "a name, a space and the SHA-256 of the token in 64 hex digits",
+			})
+			continue
+		}
+		names[token.name] = true
+		tokens.all = append(tokens.all, token)
+	}
+	return tokens, problems
+}
+
+func parseToken(line string) (operatorToken, string) {
+	fields := strings.Fields(line)
+	if len(fields) != 2 {
+		return operatorToken{}, "not two fields"
+	}
+	raw, err := hex.DecodeString(fields[1])
+	if err != nil || len(raw) != sha256.Size {
+		return operatorToken{}, "the second field is not a hash"
+	}
+	return operatorToken{name: fields[0], hash: [sha256.Size]byte(raw)}, ""
+}
+
+func readTokens(path string) (Tokens, findings.List) {
+	body, err := os.ReadFile(path)
+	if err != nil {
+		return Tokens{}, findings.List{}.With(findings.Finding{
+			Place: findings.Place{File: path}, Key: "operators.tokens_file",
+			Text: "file can't be read", Found: path, Allowed: "a readable file",
+		})
+	}
+	tokens, problems := ParseTokens(path, string(body))
+	if problems.Len() == 0 && len(tokens.all) == 0 {
+		problems = problems.With(findings.Finding{
+			Place: findings.Place{File: path}, Text: "no operator", Allowed: "at least one line",
+		})
+	}
+	return tokens, problems
+}
--- a/lib/settings/settings.go
+++ b/lib/settings/settings.go
@@ -124,6 +124,12 @@
 	return Section{file: file, name: name}
 }
 
+// HasSection reports whether the file has the section.
+func (file *File) HasSection(name string) bool {
+	_, present := file.lines[name+"."]
+	return present
+}
+
 // Findings returns all problems met so far, including the keys that no read
 // has asked for. Call it after the last read.
 func (file *File) Findings() findings.List {
