--- a/lib/hosts/hosts.go
+++ b/lib/hosts/hosts.go
@@ -69,6 +69,20 @@
 	return ranked
 }
 
+// Position returns the place of self in the rendezvous order for the key, from
+// zero. It needs no sort, so that a host can afford it for each chunk.
+func Position(key, self string, all []Host) int {
+	own := score(key, self)
+	position := 0
+	for _, host := range all {
+		other := score(key, host.Name)
+		if other > own || other == own && host.Name < self {
+			position++
+		}
+	}
+	return position
+}
+
 // Neighbours returns about count hosts that self exchanges data with. The
 // relation is symmetric: each host picks count/2 others by rank, and a host is
 // a neighbour when either has picked the other. It costs O(n²) hashes, a few
