Plan the faults of a long run; keep the record of a killed engine

A verdict from outside needs what every backend server has run, also the ones that were killed: the stand-in now appends each execution to a file at once. The schedule of faults is a function of its seed and deals every kind once before any comes again.

Measured: go test firford/cmd/bench/... firford/cmd/fakeengine/... passes; no long run has been made yet.

--- /dev/null
+++ b/cmd/bench/soak/schedule.go
@@ -0,0 +1,153 @@
+// Package soak plans the faults of a long run and judges its result from
+// outside, from the records of callers, backend servers and operators. What
+// the system says of itself is not used for the verdict.
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Kinds of faults. Each of the failures to expect has at least one.
+const (
+	KillEntry       Kind = "kill_entry"
+	KillAgent       Kind = "kill_agent"
+	KillEngine      Kind = "kill_engine"
+	FreezeEntry     Kind = "freeze_entry"
+	FreezeAgent     Kind = "freeze_agent"
+	FreezeEngine    Kind = "freeze_engine"
+	TerminateEntry  Kind = "terminate_entry"
+	TerminateAgent  Kind = "terminate_agent"
+	LeaveAgent      Kind = "leave_agent"
+	SilentLink      Kind = "silent_link"
+	StallLink       Kind = "stall_link"
+	CutLink         Kind = "cut_link"
+	StallChunks     Kind = "stall_chunks"
+	StoreOutage     Kind = "store_outage"
+	StoreSlow       Kind = "store_slow"
+	StoreLost       Kind = "store_lost_answers"
+	OriginOutage    Kind = "origin_outage"
+	EngineCorrupt   Kind = "engine_corrupt"
+	EngineFailLoad  Kind = "engine_fail_load"
+	NewVersion      Kind = "new_version"
+	RacingOperators Kind = "racing_operators"
+)
+
+const (
+	// Two events start on average every four seconds, so that some faults overlap.
+	averagePause = 4 * time.Second
+	shortestHold = time.Second
+	longestHold  = 8 * time.Second
+	// One event in four comes together with a second one.
+	togetherShare = 0.25
+	// The last part of the run is without faults, so that everything can recover
+	// before the verdict.
+	settling = 20 * time.Second
+)
+
+type (
+	// Kind names a fault or an operator's action.
+	Kind string
+
+	// Event is one entry of the schedule. Start and End count from the start of
+	// the run; for an action that takes no time they are equal.
+	Event struct {
+		Kind   Kind
+		Target string
+		Start  time.Duration
+		End    time.Duration
+	}
+
+	// Fleet names the processes that a schedule may hit.
+	Fleet struct {
+		Entries []string
+		Agents  []string
+	}
+)
+
+// Kinds returns every kind in a fixed order.
+func Kinds() []Kind {
+	return []Kind{
+		KillEntry, KillAgent, KillEngine, FreezeEntry, FreezeAgent, FreezeEngine, TerminateEntry, TerminateAgent,
+		LeaveAgent, SilentLink, StallLink, CutLink, StallChunks, StoreOutage, StoreSlow, StoreLost, OriginOutage,
+		EngineCorrupt, EngineFailLoad, NewVersion, RacingOperators,
+	}
+}
+
+// Schedule returns the events of a run, ordered by start. Equal seeds give
+// equal schedules. A run that is long enough meets every kind: kinds are dealt
+// from shuffled rounds of all of them.
+func Schedule(seed uint64, fleet Fleet, length time.Duration) []Event {
+	random := rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15))
+	var events []Event
+	var round []Kind
+	deal := func() Kind {
+		if len(round) == 0 {
+			round = Kinds()
+			random.Shuffle(len(round), func(i, j int) { round[i], round[j] = round[j], round[i] })
+		}
+		kind := round[0]
+		round = round[1:]
+		return kind
+	}
+	start := averagePause
+	for start < length-settling {
+		events = append(events, newEvent(random, deal(), fleet, start))
+		if random.Float64() < togetherShare {
+			events = append(events, newEvent(random, deal(), fleet, start))
+		}
+		start += averagePause/2 + time.Duration(random.Int64N(int64(averagePause)))
+	}
+	return events
+}
+
+func newEvent(random *rand.Rand, kind Kind, fleet Fleet, start time.Duration) Event {
+	hold := shortestHold + time.Duration(random.Int64N(int64(longestHold-shortestHold)))
+	event := Event{Kind: kind, Start: start, End: start + hold, Target: target(random, kind, fleet)}
+	switch kind {
+	case NewVersion, RacingOperators, EngineFailLoad, EngineCorrupt, SilentLink:
+		event.End = event.Start
+	}
+	return event
+}
+
+func target(random *rand.Rand, kind Kind, fleet Fleet) string {
+	agent := fleet.Agents[random.IntN(len(fleet.Agents))]
+	switch kind {
+	case KillEntry, FreezeEntry, TerminateEntry:
+		return fleet.Entries[random.IntN(len(fleet.Entries))]
+	case KillEngine, FreezeEngine, EngineCorrupt, EngineFailLoad:
+		return strings.Replace(agent, "agent", "engine", 1)
+	case StallChunks:
+		return agent + "-chunks"
+	case KillAgent, FreezeAgent, TerminateAgent, LeaveAgent, SilentLink, StallLink, CutLink:
+		return agent
+	default:
+		return "platform"
+	}
+}
+
+// Lines renders the schedule for the script that carries it out: one line for
+// each start and each end, ordered by time, as "seconds start|end kind target".
+func Lines(events []Event) string {
+	type moment struct {
+		at   time.Duration
+		line string
+	}
+	var moments []moment
+	for _, event := range events {
+		moments = append(moments, moment{event.Start, fmt.Sprintf("start %s %s", event.Kind, event.Target)})
+		if event.End > event.Start {
+			moments = append(moments, moment{event.End, fmt.Sprintf("end %s %s", event.Kind, event.Target)})
+		}
+	}
+	slices.SortStableFunc(moments, func(a, b moment) int { return int(a.at - b.at) })
+	var text strings.Builder
+	for _, each := range moments {
+		fmt.Fprintf(&text, "%.3f %s\n", each.at.Seconds(), each.line)
+	}
+	return text.String()
+}
--- a/cmd/fakeengine/fake/engine.go
+++ b/cmd/fakeengine/fake/engine.go
@@ -88,7 +88,7 @@
 )
 
 // New returns an engine whose batch runs until the context ends.
-func New(ctx context.Context, settings Settings, logger *zap.Logger, checker invariants.Asserter) *Engine {
+func New(ctx context.Context, settings Settings, journal journal, logger *zap.Logger, checker invariants.Asserter) *Engine {
 	engine := &Engine{
 		settings: settings,
 		logger:   logger,
@@ -99,7 +99,7 @@
 		faults:   faults{Speed: 1, RefuseTokens: settings.RefuseTokens},
 		role:     roleServe,
 		cache:    newPrefixCache(settings.PrefixBlocks, settings.CacheLag),
-		record:   newRecord(settings.RecordLimit),
+		record:   newRecord(settings.RecordLimit, journal),
 	}
 	if settings.Version != "" {
 		engine.serve(content{version: settings.Version, whole: true}, time.Now())
@@ -137,7 +137,7 @@
 		damage:    engine.faults.damageOf(engine.answers),
 		progress:  make(chan int, 1),
 	}
-	engine.record.ran(body.RequestID, kindGenerate, engine.serving.version, time.Now())
+	engine.record.ran(body.RequestID, kindGenerate, engine.serving.version, body.ResumeFrom, time.Now())
 	heap.Push(&engine.waiting, next)
 	engine.noteLoad()
 	engine.nudge()
--- a/cmd/fakeengine/fake/http.go
+++ b/cmd/fakeengine/fake/http.go
@@ -254,7 +254,7 @@
 	engine.mutex.Lock()
 	refused := engine.refusal()
 	if refused == nil {
-		engine.record.ran(body.RequestID, kindCall, engine.serving.version, time.Now())
+		engine.record.ran(body.RequestID, kindCall, engine.serving.version, 0, time.Now())
 	}
 	version := engine.serving.version
 	span := time.Duration(float64(engine.settings.CallTime) / engine.faults.Speed)
--- a/cmd/fakeengine/fake/record.go
+++ b/cmd/fakeengine/fake/record.go
@@ -16,6 +16,7 @@
 	// dropped beyond the limit, and their number is reported.
 	record struct {
 		limit    int
+		journal  journal
 		byID     map[string]*execution
 		ids      []string
 		dropped  int
@@ -69,11 +70,14 @@
 	}
 )
 
-func newRecord(limit int) *record {
-	return &record{limit: limit, byID: map[string]*execution{}}
+func newRecord(limit int, journal journal) *record {
+	return &record{limit: limit, journal: journal, byID: map[string]*execution{}}
 }
 
-func (record *record) ran(id, kind, version string, now time.Time) {
+// ran records an execution; resumeFrom counts the tokens that an earlier one
+// has already made.
+func (record *record) ran(id, kind, version string, resumeFrom int, now time.Time) {
+	record.journal.write(journalLine{ID: id, Kind: kind, Version: version, ResumeFrom: resumeFrom, At: now})
 	entry := record.byID[id]
 	if entry == nil {
 		entry = &execution{ID: id, Kind: kind, First: now}
@@ -98,6 +102,7 @@
 }
 
 func (record *record) served(served content, now time.Time) {
+	record.journal.write(journalLine{ID: served.orderID, Kind: kindServed, Version: served.version, At: now})
 	if len(record.versions) == maxServed {
 		record.versions = record.versions[1:]
 	}
--- a/cmd/fakeengine/fake/settings.go
+++ b/cmd/fakeengine/fake/settings.go
@@ -38,6 +38,7 @@
 	PrefixBlocks    int           `arg:"--prefix-blocks" help:"capacity of the prefix cache in blocks"`
 	CacheLag        time.Duration `arg:"--cache-lag" help:"delay of published cache events"`
 	RecordLimit     int           `arg:"--record-limit" help:"request ids kept in the record"`
+	RecordFile      string        `arg:"--record-file" help:"file to which each execution is appended at once"`
 	LogLevel        string        `arg:"--log-level" help:"debug, info, warn or error"`
 	StopOnViolation bool          `arg:"--stop-on-violation" help:"exit on a violated invariant"`
 }
@@ -84,6 +85,10 @@
 	if err != nil {
 		return err
 	}
+	journal, err := openJournal(settings.RecordFile)
+	if err != nil {
+		return err
+	}
 	checker := invariants.New(logger, tally.NoopScope, settings.StopOnViolation)
 	failures := make(chan error, settings.Count)
 	for i := range settings.Count {
@@ -92,7 +97,7 @@
 		if err != nil {
 			return fmt.Errorf("listen: %w", err)
 		}
-		engine := New(ctx, settings, logger.With(zap.String("engine", address)), checker)
+		engine := New(ctx, settings, journal, logger.With(zap.String("engine", address)), checker)
 		go func() { failures <- engine.Serve(ctx, listener) }()
 	}
 	logger.Info("serving", zap.String("address", settings.Address), zap.Int("count", settings.Count))
--- /dev/null
+++ b/scripts/fleet.sh
@@ -0,0 +1,47 @@
+# Functions that start and restart the processes of a fleet whose files
+# `bench fleet` has written under $RUN. Source scripts/processes.sh first.
+
+# fleet_line NAME prints the process's line of the list.
+fleet_line() {
+  awk -F'\t' -v name="$1" '$1 == name' "$RUN/processes.tsv"
+}
+
+# fleet_start NAME starts one process by its command line; its log is appended to.
+fleet_start() {
+  local line command
+  line=$(fleet_line "$1")
+  command=$(cut -f3 <<<"$line")
+  # The command line holds no spaces within an argument.
+  $command >>"$RUN/$1.log" 2>&1 &
+  PROCESS_IDS+=($!)
+  echo $! >"$RUN/$1.pid"
+}
+
+# fleet_start_all starts every process in the order of the list and waits for
+# the stand-ins, which the others need at their start.
+fleet_start_all() {
+  local name ready _
+  while IFS=$'\t' read -r name ready _; do
+    fleet_start "$name"
+    case $name in platform | network | engine-*) wait_ready "$ready" || return 1 ;; esac
+  done <"$RUN/processes.tsv"
+}
+
+# fleet_wait NAME waits until the process is ready.
+fleet_wait() {
+  wait_ready "$(fleet_line "$1" | cut -f2)"
+}
+
+# fleet_signal SIGNAL NAME sends a signal to one process of the fleet by its id.
+fleet_signal() {
+  kill "-$1" "$(cat "$RUN/$2.pid")" 2>/dev/null
+}
+
+# fleet_stop SIGNAL NAME ends one process and waits until it is gone.
+fleet_stop() {
+  local id
+  id=$(cat "$RUN/$2.pid")
+  kill -CONT "$id" 2>/dev/null
+  kill "-$1" "$id" 2>/dev/null
+  wait "$id" 2>/dev/null
+}
