--- a/cmd/fakeengine/fake/engine.go
+++ b/cmd/fakeengine/fake/engine.go
@@ -101,7 +101,7 @@
 		cache:    newPrefixCache(settings.PrefixBlocks, settings.CacheLag),
 		record:   newRecord(settings.RecordLimit, journal),
 	}
-	if settings.Version != "" {
+	if settings.Version != "" && !settings.Empty {
 		engine.serve(content{version: settings.Version, whole: true}, time.Now())
 	}
 	go engine.batch()
--- a/cmd/fakeengine/fake/settings.go
+++ b/cmd/fakeengine/fake/settings.go
@@ -27,7 +27,8 @@
 type Settings struct {
 	Address         string        `arg:"--address" help:"IP address and port of the first engine"`
 	Count           int           `arg:"--count" help:"number of engines, on consecutive ports"`
-	Version         string        `arg:"--version-served" help:"version served at the start; empty for none"`
+	Version         string        `arg:"--version-served" help:"version served at the start"`
+	Empty           bool          `arg:"--empty" help:"start without a version, as a new host does"`
 	Slots           int           `arg:"--slots" help:"requests that run at once"`
 	Queue           int           `arg:"--queue" help:"requests that wait for a slot at most"`
 	Step            time.Duration `arg:"--step" help:"time of one batching step"`
