--- a/cmd/fakeengine/fake/settings.go
+++ b/cmd/fakeengine/fake/settings.go
@@ -27,7 +27,8 @@
 type Settings struct {
 	Address         string        `arg:"--address" help:"IP address and port of the first engine"`
 	Count           int           `arg:"--count" help:"number of engines, on consecutive ports"`
-	Version         string        `arg:"--version-served" help:"version served at the start; empty for none"`
+	Version         string        `arg:"--version-served" help:"version served at the start"`
+	Empty           bool          `arg:"--empty" help:"start without a version, as a new host does"`
 	Slots           int           `arg:"--slots" help:"requests that run at once"`
 	Queue           int           `arg:"--queue" help:"requests that wait for a slot at most"`
 	Step            time.Duration `arg:"--step" help:"time of one batching step"`
@@ -38,6 +39,7 @@
 	PrefixBlocks    int           `arg:"--prefix-blocks" help:"capacity of the prefix cache in blocks"`
 	CacheLag        time.Duration `arg:"--cache-lag" help:"delay of published cache events"`
 	RecordLimit     int           `arg:"--record-limit" help:"request ids kept in the record"`
+	RecordFile      string        `arg:"--record-file" help:"file to which each execution is appended at once"`
 	LogLevel        string        `arg:"--log-level" help:"debug, info, warn or error"`
 	StopOnViolation bool          `arg:"--stop-on-violation" help:"exit on a violated invariant"`
 }
@@ -84,6 +86,10 @@
 	if err != nil {
 		return err
 	}
+	journal, err := openJournal(settings.RecordFile)
+	if err != nil {
+		return err
+	}
 	checker := invariants.New(logger, tally.NoopScope, settings.StopOnViolation)
 	failures := make(chan error, settings.Count)
 	for i := range settings.Count {
@@ -92,7 +98,7 @@
 		if err != nil {
 			return fmt.Errorf("listen: %w", err)
 		}
-		engine := New(ctx, settings, logger.With(zap.String("engine", address)), checker)
+		engine := New(ctx, settings, journal, logger.With(zap.String("engine", address)), checker)
 		go func() { failures <- engine.Serve(ctx, listener) }()
 	}
 	logger.Info("serving", zap.String("address", settings.Address), zap.Int("count", settings.Count))
