Add the rollout state machine and the loader of one engine

Cause: engines must reach the intended version one complete version at a time, and enough of them must keep serving while they do.

Change: lib/rollouts holds a pure decision (plan, board of slots and host records, canaries, attempts) and the loader around it: a fencing token from the table, one order in verified pieces, read-back of what the engine serves before admission and each second, slots as leases of a remaining time, and the message rollout.state.

--- /dev/null
+++ b/lib/rollouts/fakes_test.go
@@ -0,0 +1,543 @@
+package rollouts
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"testing/synctest"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"firford/lib/configurations"
+	"firford/lib/hosts"
+	"firford/lib/invariants"
+	"firford/lib/platform"
+	"firford/lib/weights"
+)
+
+const (
+	testDeployment = "plant"
+	chunkBytes     = 16
+	loadSteps      = 3
+)
+
+// fakeTable is the table service in memory, so that time can be synthetic.
+type fakeTable struct {
+	mutex    sync.Mutex
+	revision int64
+	rows     map[string]platform.Row
+	out      bool
+	lose     bool
+	random   *rand.Rand
+}
+
+func newFakeTable() *fakeTable {
+	return &fakeTable{rows: map[string]platform.Row{}, random: rand.New(rand.NewPCG(1, 1))}
+}
+
+func (table *fakeTable) Transact(_ context.Context, conditions []platform.Condition, writes []platform.Write) (int64, error) {
+	table.mutex.Lock()
+	defer table.mutex.Unlock()
+	if table.out {
+		return 0, platform.ErrUnavailable
+	}
+	var conflict platform.ConflictError
+	for _, condition := range conditions {
+		if row := table.rows[condition.Key]; row.Revision != condition.Revision {
+			row.Key = condition.Key
+			conflict.Rows = append(conflict.Rows, row)
+		}
+	}
+	if len(conflict.Rows) > 0 {
+		return 0, &conflict
+	}
+	table.revision++
+	for _, write := range writes {
+		table.rows[write.Key] = platform.Row{Key: write.Key, Value: write.Value, Revision: table.revision}
+	}
+	if table.lose && table.random.IntN(2) == 0 {
+		return 0, platform.ErrOutcomeUnknown
+	}
+	return table.revision, nil
+}
+
+func (table *fakeTable) Read(_ context.Context, key string) (platform.Row, error) {
+	table.mutex.Lock()
+	defer table.mutex.Unlock()
+	if table.out {
+		return platform.Row{}, platform.ErrUnavailable
+	}
+	row, known := table.rows[key]
+	if !known {
+		return row, platform.ErrNotFound
+	}
+	return row, nil
+}
+
+func (table *fakeTable) Scan(_ context.Context, prefix string, after int64) ([]platform.Row, error) {
+	table.mutex.Lock()
+	defer table.mutex.Unlock()
+	if table.out {
+		return nil, platform.ErrUnavailable
+	}
+	var rows []platform.Row
+	for key, row := range table.rows {
+		if strings.HasPrefix(key, prefix) && row.Revision > after {
+			rows = append(rows, row)
+		}
+	}
+	slices.SortFunc(rows, func(a, b platform.Row) int { return int(a.Revision - b.Revision) })
+	return rows, nil
+}
+
+// fakeEngine loads orders as real ones do: pieces are kept for each order, a
+// commit takes time, and new content serves only when it is whole.
+type fakeEngine struct {
+	mutex    sync.Mutex
+	fences   bool
+	down     bool
+	failLoad bool
+	lose     bool
+	highest  int64
+	orders   map[string]*fakeOrder
+	loading  string
+	status   Status
+	content  []byte
+	accepted []int64
+	random   *rand.Rand
+}
+
+type fakeOrder struct {
+	order  Order
+	pieces map[int][]byte
+}
+
+var errLost = errors.New("the answer was lost")
+
+func newFakeEngine(fences bool) *fakeEngine {
+	return &fakeEngine{fences: fences, orders: map[string]*fakeOrder{}, random: rand.New(rand.NewPCG(2, 2))}
+}
+
+func (engine *fakeEngine) Status(context.Context) (Status, error) {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	status := engine.status
+	status.Loading = engine.loading != ""
+	if engine.down {
+		return Status{}, errLost
+	}
+	return status, nil
+}
+
+// answer decides whether an answer is lost after the call took effect.
+func (engine *fakeEngine) answer() error {
+	if engine.lose && engine.random.IntN(2) == 0 {
+		return errLost
+	}
+	return nil
+}
+
+func (engine *fakeEngine) admit(token int64) error {
+	if engine.down {
+		return errLost
+	}
+	if engine.fences && token < engine.highest {
+		return ErrStaleToken
+	}
+	engine.highest = max(engine.highest, token)
+	engine.accepted = append(engine.accepted, token)
+	return nil
+}
+
+func (engine *fakeEngine) Order(_ context.Context, order Order) error {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	if err := engine.admit(order.FencingToken); err != nil {
+		return err
+	}
+	if _, known := engine.orders[order.OrderID]; !known {
+		engine.orders[order.OrderID] = &fakeOrder{order: order, pieces: map[int][]byte{}}
+	}
+	return engine.answer()
+}
+
+func (engine *fakeEngine) Piece(_ context.Context, orderID string, index int, content []byte) error {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	order, known := engine.orders[orderID]
+	if engine.down || !known {
+		return errLost
+	}
+	order.pieces[index] = content
+	return engine.answer()
+}
+
+func (engine *fakeEngine) Commit(_ context.Context, orderID string, token int64) error {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	if err := engine.admit(token); err != nil {
+		return err
+	}
+	order, known := engine.orders[orderID]
+	switch {
+	case !known || engine.loading != "":
+		return errLost
+	case engine.status.OrderID == orderID:
+		return nil
+	}
+	engine.loading = orderID
+	go engine.load(order)
+	return engine.answer()
+}
+
+func (engine *fakeEngine) load(order *fakeOrder) {
+	for range loadSteps {
+		time.Sleep(time.Second)
+	}
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	if engine.loading != order.order.OrderID {
+		return
+	}
+	engine.loading = ""
+	if engine.failLoad {
+		engine.status = Status{FailedOrder: order.order.OrderID}
+		engine.content = nil
+		return
+	}
+	engine.content = nil
+	for index := range len(order.pieces) {
+		engine.content = append(engine.content, order.pieces[index]...)
+	}
+	engine.status = Status{Version: order.order.Version, ManifestDigest: order.order.ManifestDigest, OrderID: order.order.OrderID}
+}
+
+// restart makes the engine come back with a version of its own choice.
+func (engine *fakeEngine) restart(version string, digest string, content []byte) {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	engine.loading = ""
+	engine.orders = map[string]*fakeOrder{}
+	engine.status = Status{Version: version, ManifestDigest: digest}
+	engine.content = content
+}
+
+func (engine *fakeEngine) set(change func(*fakeEngine)) {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	change(engine)
+}
+
+// served returns the version and content that the engine serves at the moment.
+func (engine *fakeEngine) served() (string, []byte) {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	return engine.status.Version, engine.content
+}
+
+// fleet is a deployment of several hosts with one table and configuration.
+type fleet struct {
+	table *fakeTable
+
+	mutex    sync.Mutex
+	snapshot configurations.Snapshot
+	changed  chan struct{}
+	contents map[string][]byte
+	chunks   map[weights.Digest][]byte
+	objects  map[string][]byte
+	members  []hosts.Host
+	violated []string
+}
+
+func newFleet(count int, deployment configurations.Deployment, versions ...string) *fleet {
+	fleet := &fleet{
+		table: newFakeTable(), changed: make(chan struct{}),
+		contents: map[string][]byte{}, chunks: map[weights.Digest][]byte{}, objects: map[string][]byte{},
+	}
+	for index := range count {
+		fleet.members = append(fleet.members, hosts.Host{Name: fmt.Sprintf("h%d", index), Role: hosts.RoleAgent, Deployment: testDeployment})
+	}
+	deployment.Name, deployment.Type = testDeployment, configurations.DeploymentEngine
+	fleet.put(deployment)
+	for _, name := range versions {
+		content := bytes.Repeat([]byte(name+"."), chunkBytes)
+		manifest, err := weights.Seal(name, bytes.NewReader(content), chunkBytes)
+		if err != nil {
+			panic(err)
+		}
+		for index, digest := range manifest.Chunks {
+			offset, length := manifest.Span(index)
+			fleet.chunks[digest] = content[offset : offset+length]
+		}
+		fleet.contents[name] = content
+		fleet.objects[weights.ObjectName(manifest.Digest())] = manifest.Encode()
+		fleet.put(configurations.Version{Name: name, ManifestDigest: manifest.Digest().String(), Size: manifest.Size})
+	}
+	fleet.put(configurations.Routing{Deployment: testDeployment, Version: versions[0]})
+	return fleet
+}
+
+// put changes the configuration as an operator does.
+func (fleet *fleet) put(object configurations.Object) {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	fleet.putLocked(object)
+}
+
+func (fleet *fleet) putLocked(object configurations.Object) {
+	next, err := fleet.snapshot.With(configurations.Change{
+		Revision: fleet.snapshot.Revision + 1, Kind: object.Kind(), Name: object.ObjectName(), Object: object,
+	})
+	if err != nil {
+		panic(err)
+	}
+	fleet.snapshot = next
+	close(fleet.changed)
+	fleet.changed = make(chan struct{})
+}
+
+func (fleet *fleet) rollout(state string) {
+	fleet.put(configurations.Rollout{Deployment: testDeployment, Version: "v2", Previous: "v1", State: state})
+}
+
+func (fleet *fleet) rolloutState() string {
+	rollout, _, _ := configurations.Lookup[configurations.Rollout](fleet.Current(), testDeployment)
+	return rollout.State
+}
+
+func (fleet *fleet) routingVersion() string {
+	routing, _, _ := configurations.Lookup[configurations.Routing](fleet.Current(), testDeployment)
+	return routing.Version
+}
+
+func (fleet *fleet) digestOf(version string) string {
+	configured, _, _ := configurations.Lookup[configurations.Version](fleet.Current(), version)
+	return configured.ManifestDigest
+}
+
+// Current implements configurations.Source.
+func (fleet *fleet) Current() configurations.Snapshot {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	return fleet.snapshot
+}
+
+// Wait implements configurations.Source.
+func (fleet *fleet) Wait(ctx context.Context, after int64) (configurations.Snapshot, error) {
+	for {
+		fleet.mutex.Lock()
+		snapshot, changed := fleet.snapshot, fleet.changed
+		fleet.mutex.Unlock()
+		if snapshot.Revision > after {
+			return snapshot, nil
+		}
+		select {
+		case <-ctx.Done():
+			return snapshot, ctx.Err()
+		case <-changed:
+		}
+	}
+}
+
+func (fleet *fleet) change(_ context.Context, _ string, object configurations.Object, revision int64) error {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	if fleet.table.isOut() {
+		return platform.ErrUnavailable
+	}
+	for _, entry := range fleet.snapshot.Entries() {
+		if entry.Object.Kind() == object.Kind() && entry.Object.ObjectName() == object.ObjectName() && entry.Revision != revision {
+			return errors.New("conflict")
+		}
+	}
+	fleet.putLocked(object)
+	return nil
+}
+
+func (table *fakeTable) set(change func(*fakeTable)) {
+	table.mutex.Lock()
+	defer table.mutex.Unlock()
+	change(table)
+}
+
+func (table *fakeTable) isOut() bool {
+	table.mutex.Lock()
+	defer table.mutex.Unlock()
+	return table.out
+}
+
+// Put implements platform.Objects.
+func (fleet *fleet) Put(context.Context, string, []byte) error { return nil }
+
+// Get implements platform.Objects.
+func (fleet *fleet) Get(_ context.Context, name string) ([]byte, error) {
+	return fleet.objects[name], nil
+}
+
+// WaitWhole implements ChunkSource.
+func (fleet *fleet) WaitWhole(ctx context.Context, _ weights.Manifest) error {
+	sleep(ctx, time.Second)
+	return ctx.Err()
+}
+
+// Chunk implements ChunkSource.
+func (fleet *fleet) Chunk(_ context.Context, digest weights.Digest) ([]byte, error) {
+	return fleet.chunks[digest], nil
+}
+
+func (fleet *fleet) violate(format string, arguments ...any) {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	fleet.violated = append(fleet.violated, fmt.Sprintf(format, arguments...))
+}
+
+func (fleet *fleet) violations() []string {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	return slices.Clone(fleet.violated)
+}
+
+// agent is one agent process: a loader whose calls a gate can pause.
+type agent struct {
+	fleet  *fleet
+	host   string
+	engine *fakeEngine
+	loader *Loader
+	cancel context.CancelFunc
+	ended  chan error
+
+	mutex   sync.Mutex
+	version string
+	serving bool
+	gate    chan struct{}
+}
+
+// pass blocks a call while the agent is paused.
+func (agent *agent) pass() {
+	agent.mutex.Lock()
+	gate := agent.gate
+	agent.mutex.Unlock()
+	if gate != nil {
+		<-gate
+	}
+}
+
+func (agent *agent) pause() {
+	agent.mutex.Lock()
+	defer agent.mutex.Unlock()
+	if agent.gate == nil {
+		agent.gate = make(chan struct{})
+	}
+}
+
+func (agent *agent) resume() {
+	agent.mutex.Lock()
+	defer agent.mutex.Unlock()
+	if agent.gate != nil {
+		close(agent.gate)
+		agent.gate = nil
+	}
+}
+
+// stop ends the agent as a crash does: it releases nothing.
+func (agent *agent) stop() {
+	agent.resume()
+	agent.cancel()
+	<-agent.ended
+}
+
+func (agent *agent) admits() (string, bool) {
+	agent.mutex.Lock()
+	defer agent.mutex.Unlock()
+	return agent.version, agent.serving
+}
+
+// gatedTable and gatedEngine stop a paused agent's calls before they are sent,
+// as a stopped process would.
+type (
+	gatedTable struct {
+		platform.Table
+		agent *agent
+	}
+
+	gatedEngine struct {
+		Engine
+		agent *agent
+	}
+)
+
+func (gated gatedTable) Transact(ctx context.Context, conditions []platform.Condition, writes []platform.Write) (int64, error) {
+	gated.agent.pass()
+	return gated.Table.Transact(ctx, conditions, writes)
+}
+
+func (gated gatedTable) Read(ctx context.Context, key string) (platform.Row, error) {
+	row, err := gated.Table.Read(ctx, key)
+	gated.agent.pass()
+	return row, err
+}
+
+func (gated gatedEngine) Commit(ctx context.Context, orderID string, token int64) error {
+	gated.agent.pass()
+	return gated.Engine.Commit(ctx, orderID, token)
+}
+
+func (gated gatedEngine) Order(ctx context.Context, order Order) error {
+	gated.agent.pass()
+	return gated.Engine.Order(ctx, order)
+}
+
+func (gated gatedEngine) Status(ctx context.Context) (Status, error) {
+	status, err := gated.Engine.Status(ctx)
+	gated.agent.pass()
+	return status, err
+}
+
+// start runs an agent of the host within the present synctest bubble.
+func (fleet *fleet) start(host string, engine *fakeEngine) *agent {
+	started := &agent{fleet: fleet, host: host, engine: engine, ended: make(chan error, 1)}
+	settings := DefaultSettings()
+	started.loader = NewLoader(Dependencies{
+		Self:   hosts.Host{Name: host, Role: hosts.RoleAgent, Deployment: testDeployment},
+		Engine: gatedEngine{Engine: engine, agent: started},
+		Table:  gatedTable{Table: fleet.table, agent: started}, Objects: fleet, Source: fleet, Chunks: fleet, Change: fleet.change,
+		Members: func() []hosts.Host { return fleet.members },
+		Serving: started.onServing,
+		Invariants: invariants.NewForTest(func(name invariants.Name) {
+			fleet.violate("%s: invariant %s", host, name)
+		}),
+		Scope: tally.NoopScope, Logger: zap.NewNop(), Settings: settings,
+	})
+	var ctx context.Context
+	ctx, started.cancel = context.WithCancel(context.Background())
+	go func() { started.ended <- started.loader.Run(ctx) }()
+	return started
+}
+
+// onServing checks at the moment of admission what the engine really serves.
+func (agent *agent) onServing(version string, serving bool) {
+	agent.mutex.Lock()
+	agent.version, agent.serving = version, serving
+	paused := agent.gate != nil
+	agent.mutex.Unlock()
+	if !serving || paused {
+		return
+	}
+	served, content := agent.engine.served()
+	if served != version || !bytes.Equal(content, agent.fleet.contents[version]) {
+		agent.fleet.violate("%s admits %q while the engine serves %q with %d bytes", agent.host, version, served, len(content))
+	}
+}
+
+// settle lets synthetic time pass.
+func settle(span time.Duration) {
+	time.Sleep(span)
+	synctest.Wait()
+}
--- /dev/null
+++ b/lib/rollouts/plan.go
@@ -0,0 +1,138 @@
+package rollouts
+
+import (
+	"slices"
+
+	"firford/lib/configurations"
+)
+
+// Plan is what the configuration asks of one deployment. It is immutable.
+//
+// A rollout in progress takes precedence over the routing. Once a rollout has
+// ended, a later change of the routing takes precedence over the rollout.
+// Versions that the plan allows may serve; all others may not.
+type Plan struct {
+	Deployment configurations.Deployment
+	// Configured is false until the deployment exists.
+	Configured bool
+	// State is the state of the rollout that governs the deployment, or empty.
+	State string
+	// Version is the version to reach and Previous the one before it, which is
+	// empty where there is none.
+	Version  string
+	Previous string
+
+	Rollout         configurations.Rollout
+	RolloutRevision int64
+	Routing         configurations.Routing
+	RoutingRevision int64
+
+	versions map[string]configurations.Version
+}
+
+// NewPlan returns the plan for a deployment.
+func NewPlan(snapshot configurations.Snapshot, deployment string) Plan {
+	var plan Plan
+	plan.Deployment, _, plan.Configured = configurations.Lookup[configurations.Deployment](snapshot, deployment)
+	if !plan.Configured {
+		return plan
+	}
+	plan.Routing, plan.RoutingRevision, _ = configurations.Lookup[configurations.Routing](snapshot, deployment)
+	var exists bool
+	plan.Rollout, plan.RolloutRevision, exists = configurations.Lookup[configurations.Rollout](snapshot, deployment)
+	plan.Version = plan.Routing.Version
+	if exists && plan.rolloutGoverns() {
+		plan.State = plan.Rollout.State
+		plan.Version = plan.Rollout.Version
+		plan.Previous = plan.Rollout.Previous
+		if plan.Previous == "" && plan.Routing.Version != plan.Version {
+			plan.Previous = plan.Routing.Version
+		}
+	}
+	plan.versions = map[string]configurations.Version{}
+	for _, name := range []string{plan.Version, plan.Previous} {
+		if version, _, found := configurations.Lookup[configurations.Version](snapshot, name); found {
+			plan.versions[name] = version
+		}
+	}
+	return plan
+}
+
+func (plan Plan) rolloutGoverns() bool {
+	switch plan.Rollout.State {
+	case configurations.RolloutRunning, configurations.RolloutPaused:
+		return true
+	default:
+		return plan.RolloutRevision > plan.RoutingRevision
+	}
+}
+
+// Service reports whether the backend servers are plain services, which have no
+// versions to load.
+func (plan Plan) Service() bool {
+	return plan.Deployment.Type == configurations.DeploymentService
+}
+
+// Allowed returns the versions that may serve. During a rollout these are both
+// versions, because hosts change one after the other.
+func (plan Plan) Allowed() []string {
+	var allowed []string
+	for _, name := range []string{plan.Version, plan.Previous} {
+		if _, known := plan.versions[name]; !known {
+			continue
+		}
+		if name == plan.Version || plan.State != configurations.RolloutDone {
+			allowed = append(allowed, name)
+		}
+	}
+	return allowed
+}
+
+// VersionOf returns the configured version with the name, if the plan uses it.
+func (plan Plan) VersionOf(name string) (configurations.Version, bool) {
+	version, known := plan.versions[name]
+	return version, known
+}
+
+// Admits reports whether an engine with the status may serve requests. An
+// engine that reports no manifest digest is judged by the name of its version.
+func (plan Plan) Admits(status Status) bool {
+	if status.Loading || status.Leaving || !plan.Configured {
+		return false
+	}
+	if plan.Service() {
+		return true
+	}
+	if !slices.Contains(plan.Allowed(), status.Version) {
+		return false
+	}
+	return status.ManifestDigest == "" || status.ManifestDigest == plan.versions[status.Version].ManifestDigest
+}
+
+// Target returns the version that a host is to load or keep. The host serves
+// the version served, or an empty one if it serves none that is admitted; turn
+// tells that the rollout has reached it; failed tells that it has given up on
+// the new version for now.
+func (plan Plan) Target(served string, turn, failed bool) string {
+	switch plan.State {
+	case configurations.RolloutRunning:
+		if plan.Previous == "" || turn && !failed {
+			return plan.Version
+		}
+		return plan.keep(served)
+	case configurations.RolloutPaused, configurations.RolloutStopped:
+		return plan.keep(served)
+	case configurations.RolloutUndone:
+		return plan.Previous
+	default:
+		return plan.Version
+	}
+}
+
+// keep leaves a host on what it serves; one without a version gets the earlier.
+func (plan Plan) keep(served string) string {
+	if served != "" && slices.Contains(plan.Allowed(), served) {
+		return served
+	}
+	return plan.Previous
+}
