--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -12,6 +12,8 @@
 	"github.com/alexflint/go-arg"
 
 	"firford/cmd/bench/fleet"
+	"firford/cmd/bench/operations"
+	"firford/cmd/bench/prepare"
 )
 
 type (
@@ -21,7 +23,9 @@
 	}
 
 	arguments struct {
-		Fleet *fleet.Command `arg:"subcommand:fleet" help:"write the settings, lists and command lines of a fleet on this machine"`
+		Fleet      *fleet.Command      `arg:"subcommand:fleet" help:"write the settings, lists and command lines of a fleet on this machine"`
+		Prepare    *prepare.Command    `arg:"subcommand:prepare" help:"configure a running fleet: models, deployments, organisations"`
+		Operations *operations.Command `arg:"subcommand:operations" help:"let operators race each other, and check that accepted changes stay in force"`
 	}
 )
 
--- a/cmd/bench/soak/schedule.go
+++ b/cmd/bench/soak/schedule.go
@@ -37,7 +37,7 @@
 )
 
 const (
-	// Two events start on average every four seconds, so that some faults overlap.
+	// Faults are held for up to twice this time, so that some of them overlap.
 	averagePause = 4 * time.Second
 	shortestHold = time.Second
 	longestHold  = 8 * time.Second
@@ -120,7 +120,7 @@
 	case KillEntry, FreezeEntry, TerminateEntry:
 		return fleet.Entries[random.IntN(len(fleet.Entries))]
 	case KillEngine, FreezeEngine, EngineCorrupt, EngineFailLoad:
-		return strings.Replace(agent, "agent", "engine", 1)
+		return serverOf(agent)
 	case StallChunks:
 		return agent + "-chunks"
 	case KillAgent, FreezeAgent, TerminateAgent, LeaveAgent, SilentLink, StallLink, CutLink:
@@ -130,6 +130,11 @@
 	}
 }
 
+// serverOf returns the name of the backend server beside an agent.
+func serverOf(agent string) string {
+	return strings.Replace(agent, "agent", "engine", 1)
+}
+
 // Lines renders the schedule for the script that carries it out: one line for
 // each start and each end, ordered by time, as "seconds start|end kind target".
 func Lines(events []Event) string {
