Carry requests from callers to agents and back

Nothing carried a caller's request to an agent. lib/requests now holds both ends of the request messages, the verified assembly of answers, claims of non-idempotent requests and the caller HTTP API; lib/backends holds the pure selection. Bodies travel as bytes (base64), because raw JSON is compacted and escaped on the way and no longer matches its digest.

A dialler dropped messages that followed its proof until its own call had returned, so that the first agent.state of a link could be lost and a test waited for it without end. It now accepts the peer as soon as the peer's proof has been verified.

--- a/lib/links/links.go
+++ b/lib/links/links.go
@@ -184,12 +184,11 @@
 	if !hmac.Equal([]byte(hello.Proof), []byte(link.proof("listener", hello.Identity, link.nonce, hello.Nonce))) {
 		return ErrUnauthenticated
 	}
-	own := proveParams{Proof: link.proof("dialler", link.options.Self, hello.Nonce, link.nonce)}
-	if err := link.rpc.Call(ctx, methodProve, own, nil); err != nil {
-		return err
-	}
+	// The peer has proved its identity, and what it sends after the own proof may
+	// arrive before the call below returns.
 	link.accept(hello.Identity)
-	return nil
+	own := proveParams{Proof: link.proof("dialler", link.options.Self, hello.Nonce, link.nonce)}
+	return link.rpc.Call(ctx, methodProve, own, nil)
 }
 
 func (link *Link) accept(peer Identity) {
--- /dev/null
+++ b/lib/requests/fakes_test.go
@@ -0,0 +1,264 @@
+package requests
+
+import (
+	"context"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/zeebo/blake3"
+
+	"firford/lib/configurations"
+	"firford/lib/platform"
+)
+
+// fakeRunner runs each attempt once and keeps its answer. The text of an answer
+// derives from the request's body, so that a mixed-up answer is noticed.
+type fakeRunner struct {
+	mutex     sync.Mutex
+	attempts  map[string]*fakeAttempt
+	runs      map[string]int // By body: how often it has run.
+	refuse    bool
+	version   string
+	partPause time.Duration
+	parts     int
+	stopAfter int
+}
+
+type fakeAttempt struct {
+	state  AttemptState
+	after  int
+	texts  []string
+	end    Outcome
+	change chan struct{}
+}
+
+func newFakeRunner() *fakeRunner {
+	return &fakeRunner{attempts: map[string]*fakeAttempt{}, runs: map[string]int{}, version: "v1", parts: 3}
+}
+
+func answerText(body []byte, number int) string {
+	return fmt.Sprintf("%s/%d ", BodyDigest(body)[:8], number)
+}
+
+func (runner *fakeRunner) Run(ctx context.Context, request Request, deliver func(Part)) Outcome {
+	runner.mutex.Lock()
+	attempt, known := runner.attempts[request.AttemptID]
+	if known && attempt.state == AttemptNotRun {
+		runner.mutex.Unlock()
+		return NotRun{Code: CodeCancelled, Message: "recorded as never run"}
+	}
+	if !known {
+		attempt = &fakeAttempt{state: AttemptRunning, after: request.AfterPart, change: make(chan struct{})}
+		runner.attempts[request.AttemptID] = attempt
+		if runner.refuse {
+			attempt.state = AttemptNotRun
+			runner.mutex.Unlock()
+			return NotRun{Code: CodeOverloaded, Message: "full", RetryAt: time.Now().Add(time.Second)}
+		}
+		runner.runs[string(request.Body)]++
+		go runner.execute(request, attempt)
+	}
+	runner.mutex.Unlock()
+	return runner.follow(ctx, request.AttemptID, attempt, request.AfterPart, deliver)
+}
+
+func (runner *fakeRunner) execute(request Request, attempt *fakeAttempt) {
+	hash := blake3.New()
+	end := Answered{Version: runner.version}
+	for number := request.AfterPart + 1; request.Stream && number <= runner.parts; number++ {
+		time.Sleep(runner.partPause)
+		if runner.stopAfter > 0 && number > runner.stopAfter {
+			runner.finish(attempt, Unknown{Code: CodeOutcomeUnknown, Message: "engine failed"}, AttemptUnknown)
+			return
+		}
+		text := answerText(request.Body, number)
+		_, _ = hash.WriteString(text)
+		runner.mutex.Lock()
+		attempt.texts = append(attempt.texts, text)
+		close(attempt.change)
+		attempt.change = make(chan struct{})
+		runner.mutex.Unlock()
+	}
+	if request.Stream {
+		end.Parts, end.Digest = runner.parts, hex.EncodeToString(hash.Sum(nil))
+	} else {
+		time.Sleep(runner.partPause)
+		end.Body, _ = json.Marshal(answerText(request.Body, 0))
+		end.Digest = BodyDigest(end.Body)
+	}
+	runner.finish(attempt, end, AttemptAnswered)
+}
+
+func (runner *fakeRunner) finish(attempt *fakeAttempt, end Outcome, state AttemptState) {
+	runner.mutex.Lock()
+	defer runner.mutex.Unlock()
+	attempt.end, attempt.state = end, state
+	close(attempt.change)
+	attempt.change = make(chan struct{})
+}
+
+func (runner *fakeRunner) follow(ctx context.Context, id string, attempt *fakeAttempt, after int, deliver func(Part)) Outcome {
+	next := after + 1
+	for {
+		runner.mutex.Lock()
+		texts, end, change := attempt.texts, attempt.end, attempt.change
+		runner.mutex.Unlock()
+		for ; next <= attempt.after+len(texts); next++ {
+			deliver(Part{AttemptID: id, Number: next, Text: texts[next-attempt.after-1]})
+		}
+		if end != nil {
+			return end
+		}
+		select {
+		case <-ctx.Done():
+			return Unknown{Code: CodeOutcomeUnknown, Message: "deadline"}
+		case <-change:
+		}
+	}
+}
+
+func (runner *fakeRunner) Collect(ctx context.Context, attemptID string, afterPart int, deliver func(Part)) Outcome {
+	runner.mutex.Lock()
+	attempt := runner.attempts[attemptID]
+	runner.mutex.Unlock()
+	if attempt == nil || attempt.state == AttemptNotRun {
+		return Unknown{Code: CodeOutcomeUnknown, Message: "no such attempt"}
+	}
+	return runner.follow(ctx, attemptID, attempt, afterPart, deliver)
+}
+
+func (runner *fakeRunner) Resolve(attemptID string) AttemptState {
+	runner.mutex.Lock()
+	defer runner.mutex.Unlock()
+	attempt, known := runner.attempts[attemptID]
+	if !known {
+		runner.attempts[attemptID] = &fakeAttempt{state: AttemptNotRun}
+		return AttemptNotRun
+	}
+	return attempt.state
+}
+
+func (runner *fakeRunner) Cancel(string) {}
+
+func (runner *fakeRunner) Load() Load { return Load{Slots: 8} }
+
+func (runner *fakeRunner) countRuns(body string) int {
+	runner.mutex.Lock()
+	defer runner.mutex.Unlock()
+	return runner.runs[body]
+}
+
+// fakeTable is a transactional table in memory. fault is asked before each
+// transaction what becomes of it.
+type fakeTable struct {
+	mutex        sync.Mutex
+	rows         map[string]platform.Row
+	revision     int64
+	fault        func() tableFault
+	transactions int
+}
+
+type tableFault int
+
+const (
+	faultNone tableFault = iota
+	faultUnavailable
+	faultLostBefore // The answer is lost and the writes did not take effect.
+	faultLostAfter  // The answer is lost after the writes took effect.
+)
+
+func newFakeTable() *fakeTable {
+	return &fakeTable{rows: map[string]platform.Row{}, fault: func() tableFault { return faultNone }}
+}
+
+func (table *fakeTable) Transact(_ context.Context, conditions []platform.Condition, writes []platform.Write) (int64, error) {
+	table.mutex.Lock()
+	defer table.mutex.Unlock()
+	table.transactions++
+	fault := table.fault()
+	switch fault {
+	case faultUnavailable:
+		return 0, platform.ErrUnavailable
+	case faultLostBefore:
+		return 0, platform.ErrOutcomeUnknown
+	}
+	var conflict platform.ConflictError
+	for _, condition := range conditions {
+		row := table.rows[condition.Key]
+		if row.Revision != condition.Revision {
+			row.Key = condition.Key
+			conflict.Rows = append(conflict.Rows, row)
+		}
+	}
+	if len(conflict.Rows) > 0 {
+		if fault == faultLostAfter {
+			return 0, platform.ErrOutcomeUnknown
+		}
+		return 0, &conflict
+	}
+	table.revision++
+	for _, write := range writes {
+		if write.Delete {
+			delete(table.rows, write.Key)
+			continue
+		}
+		table.rows[write.Key] = platform.Row{Key: write.Key, Value: write.Value, Revision: table.revision}
+	}
+	if fault == faultLostAfter {
+		return 0, platform.ErrOutcomeUnknown
+	}
+	return table.revision, nil
+}
+
+func (table *fakeTable) Read(_ context.Context, key string) (platform.Row, error) {
+	table.mutex.Lock()
+	defer table.mutex.Unlock()
+	if table.fault() == faultUnavailable {
+		return platform.Row{}, platform.ErrUnavailable
+	}
+	row, found := table.rows[key]
+	if !found {
+		return platform.Row{}, platform.ErrNotFound
+	}
+	return row, nil
+}
+
+func (table *fakeTable) Scan(context.Context, string, int64) ([]platform.Row, error) {
+	return nil, platform.ErrUnavailable
+}
+
+func (table *fakeTable) setFault(fault func() tableFault) {
+	table.mutex.Lock()
+	defer table.mutex.Unlock()
+	table.fault = fault
+}
+
+// fakeSource is a configuration that does not change.
+type fakeSource struct{ snapshot configurations.Snapshot }
+
+func (source fakeSource) Current() configurations.Snapshot { return source.snapshot }
+
+func (source fakeSource) Wait(ctx context.Context, _ int64) (configurations.Snapshot, error) {
+	<-ctx.Done()
+	return source.snapshot, ctx.Err()
+}
+
+const testToken = "secret"
+
+func testSnapshot() configurations.Snapshot {
+	return configurations.NewSnapshot(7, []configurations.Entry{
+		{Object: configurations.Deployment{Name: "plant", Type: configurations.DeploymentEngine}, Revision: 1},
+		{Object: configurations.Deployment{Name: "lots", Type: configurations.DeploymentService}, Revision: 2},
+		{Object: configurations.Routing{Deployment: "plant", Spill: configurations.SpillAnywhere}, Revision: 3},
+		{Object: configurations.Organisation{Name: "mill", TokenHash: tokenHash(testToken)}, Revision: 4},
+		{Object: configurations.Organisation{Name: "slow", TokenHash: tokenHash("slow"), RequestsPerSecond: 1}, Revision: 5},
+	})
+}
+
+func longBody(size int) string {
+	return `{"prompt":"` + strings.Repeat("x", size) + `"}`
+}
--- /dev/null
+++ b/lib/requests/front_test.go
@@ -0,0 +1,241 @@
+package requests
+
+import (
+	"bufio"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"regexp"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+	"github.com/smartystreets/goconvey/convey"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"firford/lib/backends"
+	"firford/lib/configurations"
+	"firford/lib/hosts"
+	"firford/lib/invariants"
+	"firford/lib/links"
+)
+
+func tokenHash(token string) string {
+	sum := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(sum[:])
+}
+
+// testFleet is one entry with agents over real links on loopback.
+type testFleet struct {
+	url     string
+	runners []*fakeRunner
+	table   *fakeTable
+	front   *Front
+	agents  *Agents
+	links   [][]*links.Link
+	stop    func()
+	ended   chan error
+	mutex   sync.Mutex
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return listener
+}
+
+func startFleet(t *testing.T, count int) *testFleet {
+	t.Helper()
+	fleet := &testFleet{table: newFakeTable(), links: make([][]*links.Link, count), ended: make(chan error, 1)}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	var members []hosts.Host
+	for index := range count {
+		members = append(members, fleet.startAgent(ctx, t, index))
+	}
+	self := hosts.Host{Name: "entry-1", Role: hosts.RoleEntry}
+	options := links.Options{
+		Self: links.Identity{Name: self.Name, Role: self.Role, Incarnation: "e1"}, Key: []byte("k"),
+		Router: links.NewRouter(), Logger: zap.NewNop(),
+	}
+	client := NewClient(options.Router)
+	fleet.agents = NewAgents(ctx, self, backends.TwoChoicesByLoad{}, options)
+	claims := NewClaims(fleet.table)
+	go claims.Serve(ctx)
+	asserter := invariants.NewForTest(func(name invariants.Name) { t.Errorf("invariant %s violated", name) })
+	fleet.agents.Update(members, testSnapshot())
+	for _, member := range members {
+		waitFor(func() bool { return fleet.state(member.Name) == StateServing })
+	}
+	fleet.front = NewFront(Dependencies{
+		Source:     fakeSource{testSnapshot()},
+		Dispatcher: NewDispatcher(fleet.agents, client, claims, asserter, zap.NewNop()),
+		Entries:    func() int { return 1 }, Scope: tally.NoopScope, Logger: zap.NewNop(),
+	})
+	listener := listen(t)
+	fleet.url = "http://" + listener.Addr().String()
+	serving, stop := context.WithCancel(ctx)
+	fleet.stop = stop
+	go func() { fleet.ended <- fleet.front.Serve(serving, listener) }()
+	return fleet
+}
+
+// waitFor polls without a bound of its own; the test binary's time-out ends it.
+func waitFor(condition func() bool) {
+	for !condition() {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func (fleet *testFleet) state(name string) string {
+	fleet.agents.mutex.Lock()
+	defer fleet.agents.mutex.Unlock()
+	return fleet.agents.views[name].state.State
+}
+
+func (fleet *testFleet) startAgent(ctx context.Context, t *testing.T, index int) hosts.Host {
+	t.Helper()
+	runner := newFakeRunner()
+	fleet.runners = append(fleet.runners, runner)
+	router := links.NewRouter()
+	RegisterRunner(router, runner)
+	name := fmt.Sprintf("agent-%d", index)
+	router.OnLink(func(link *links.Link) {
+		fleet.mutex.Lock()
+		fleet.links[index] = append(fleet.links[index], link)
+		fleet.mutex.Unlock()
+		_ = NotifyState(link, State{Incarnation: "i1", Deployment: "plant", Version: "v1", State: StateServing, Slots: 8})
+	})
+	listener := listen(t)
+	options := links.Options{
+		Self: links.Identity{Name: name, Role: hosts.RoleAgent, Incarnation: "i1"}, Key: []byte("k"),
+		Router: router, Logger: zap.NewNop(),
+	}
+	go func() { _ = links.Serve(ctx, listener, options) }()
+	return hosts.Host{Name: name, Role: hosts.RoleAgent, Address: listener.Addr().String(), Deployment: "plant", Incarnation: "i1"}
+}
+
+// cutLinks ends all links of the agent from its side.
+func (fleet *testFleet) cutLinks(index int) {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	for _, link := range fleet.links[index] {
+		link.Close()
+	}
+	fleet.links[index] = nil
+}
+
+func (fleet *testFleet) post(body string, headers ...string) (int, []string) {
+	return fleet.send(http.MethodPost, "/v1/deployments/plant/requests", body, headers...)
+}
+
+// send returns the status and the lines of the answer. headers alternate names
+// and values; the token is set unless they name another.
+func (fleet *testFleet) send(method, path, body string, headers ...string) (int, []string) {
+	request, err := http.NewRequest(method, fleet.url+path, strings.NewReader(body))
+	if err != nil {
+		return 0, []string{err.Error()}
+	}
+	request.Header.Set("Authorization", "Bearer "+testToken)
+	for index := 0; index+1 < len(headers); index += 2 {
+		request.Header.Set(headers[index], headers[index+1])
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, []string{err.Error()}
+	}
+	defer func() { _ = response.Body.Close() }()
+	var lines []string
+	for scanner := bufio.NewScanner(response.Body); scanner.Scan(); {
+		lines = append(lines, scanner.Text())
+	}
+	return response.StatusCode, lines
+}
+
+const (
+	streamBody = `{"prompt":"a < b","stream":true}`
+	plainBody  = `{"prompt": "a < b"}`
+)
+
+// Guards against a change of the caller's API: statuses, codes and the form of
+// each answer are in the golden file.
+func TestCallerAPI(t *testing.T) {
+	fleet := startFleet(t, 1)
+	type example struct {
+		name, method, path, body string
+		headers                  []string
+	}
+	requests := "/v1/deployments/plant/requests"
+	examples := []example{
+		{"whole answer", "POST", requests, plainBody, nil},
+		{"streamed answer", "POST", requests, streamBody, nil},
+		{"body too large", "POST", requests, longBody(MaxBodyBytes), nil},
+		{"malformed JSON", "POST", requests, `{"prompt":`, nil},
+		{"no prompt", "POST", requests, `{"max_tokens":3}`, nil},
+		{"max_tokens below zero", "POST", requests, `{"prompt":"a","max_tokens":-1}`, nil},
+		{"no token", "POST", requests, plainBody, []string{"Authorization", ""}},
+		{"unknown organisation", "POST", requests, plainBody, []string{"Authorization", "Bearer x"}},
+		{"unknown deployment", "POST", "/v1/deployments/other/requests", plainBody, nil},
+		{"unknown path", "POST", "/v1/other", plainBody, nil},
+		{"expired deadline", "POST", requests, plainBody, []string{"Budget-Ms", "0"}},
+		{"malformed budget", "POST", requests, plainBody, []string{"Budget-Ms", "soon"}},
+		{"malformed priority", "POST", requests, plainBody, []string{"Priority", "10"}},
+		{"no key", "POST", requests, plainBody, []string{"Idempotent", "false"}},
+		{"malformed key", "POST", requests, plainBody, []string{"Idempotent", "false", "Request-Key", "a/b"}},
+		{"service without call", "POST", "/v1/deployments/lots/requests", `{}`, nil},
+		{"service without agent", "POST", "/v1/deployments/lots/requests", `{"call":"find"}`, nil},
+		{"keyed", "POST", requests, plainBody, []string{"Idempotent", "false", "Request-Key", "k1"}},
+		{"keyed again", "POST", requests, plainBody, []string{"Idempotent", "false", "Request-Key", "k1"}},
+		{"key of another body", "POST", requests, streamBody, []string{"Idempotent", "false", "Request-Key", "k1"}},
+		{"lookup of unknown key", "GET", "/v1/requests/other", "", nil},
+	}
+	var transcript strings.Builder
+	for _, each := range examples {
+		status, lines := fleet.send(each.method, each.path, each.body, each.headers...)
+		fmt.Fprintf(&transcript, "%s: %d\n  %s\n", each.name, status, strings.Join(lines, "\n  "))
+	}
+	waits := regexp.MustCompile(`"retry_after_ms":[1-9][0-9]*`)
+	goldie.New(t).Assert(t, "caller_api", waits.ReplaceAll([]byte(transcript.String()), []byte(`"retry_after_ms":N`)))
+	convey.Convey("Only the four accepted requests were run, the keyed one once", t, func() {
+		convey.So(fleet.runners[0].countRuns(plainBody), convey.ShouldEqual, 2)
+		convey.So(fleet.runners[0].countRuns(streamBody), convey.ShouldEqual, 1)
+		convey.So(len(fleet.runners[0].attempts), convey.ShouldEqual, 3)
+	})
+}
+
+// Guards against a limit that lets everything pass, or refuses without a time
+// to come back.
+func TestOrganisationLimit(t *testing.T) {
+	fleet := startFleet(t, 1)
+	convey.Convey("The second request within a second is refused with a time", t, func() {
+		status, _ := fleet.post(plainBody, "Authorization", "Bearer slow")
+		convey.So(status, convey.ShouldEqual, 200)
+		status, lines := fleet.post(plainBody, "Authorization", "Bearer slow")
+		convey.So(status, convey.ShouldEqual, 429)
+		var refusal refusalBody
+		convey.So(json.Unmarshal([]byte(lines[0]), &refusal), convey.ShouldBeNil)
+		convey.So(refusal.Code, convey.ShouldEqual, CodeLimitReached)
+		convey.So(refusal.RetryAfterMS, convey.ShouldBeGreaterThan, 0)
+		convey.So(fleet.runners[0].countRuns(plainBody), convey.ShouldEqual, 1)
+	})
+}
+
+// Guards against an organisation that is removed from the configuration but
+// still served.
+func TestCallerIndexFollowsRevision(t *testing.T) {
+	convey.Convey("The index changes with the revision", t, func() {
+		index := &callerIndex{}
+		convey.So(len(index.at(testSnapshot()).byHash), convey.ShouldEqual, 2)
+		convey.So(len(index.at(configurations.NewSnapshot(8, nil)).byHash), convey.ShouldEqual, 0)
+	})
+}
--- a/lib/requests/requests.go
+++ b/lib/requests/requests.go
@@ -30,6 +30,10 @@
 	CodeCancelled           = "cancelled"
 	CodeOutcomeUnknown      = "outcome_unknown"
 	CodeStreamBroken        = "stream_broken"
+	CodeKeyReused           = "key_reused"
+	CodeUnknownKey          = "unknown_key"
+	CodeAnswerNotKept       = "answer_not_kept"
+	CodeUnknownPath         = "unknown_path"
 )
 
 // States of an attempt as its agent knows them.
@@ -67,14 +71,17 @@
 		Text      string
 	}
 
-	// Outcome is how an attempt ended: Answered, NotRun or Unknown.
+	// Outcome is how an attempt ended: Answered, NotRun or Unknown. A repeat of a
+	// key may also end as NotKept.
 	Outcome interface {
 		outcome()
 	}
 
-	// Answered carries the end of a whole answer. Parts counts the streamed parts
-	// and Digest is the BLAKE3 hash in hex of their texts, or of Body where the
-	// answer was not streamed. Version is the one that the engine stated.
+	// Answered carries the end of a whole answer. Parts is the number of the last
+	// streamed part. Digest is the BLAKE3 hash in hex of the texts of all parts
+	// after the request's AfterPart, also when they are collected in pieces, or of
+	// Body where the answer was not streamed. Version is the one that the engine
+	// stated.
 	Answered struct {
 		Version string
 		Parts   int
@@ -96,6 +103,12 @@
 		Message string
 	}
 
+	// NotKept says that the request was answered before and that its answer can't
+	// be sent again. Only a repeat of a key ends so.
+	NotKept struct {
+		Answered Answered
+	}
+
 	// Load is what an agent tells of its backend server. Slots is how many
 	// requests it runs at once.
 	Load struct {
@@ -126,3 +139,4 @@
 func (Answered) outcome() {}
 func (NotRun) outcome()   {}
 func (Unknown) outcome()  {}
+func (NotKept) outcome()  {}
--- /dev/null
+++ b/lib/requests/wire.go
@@ -0,0 +1,271 @@
+package requests
+
+// Both ends of the messages between an entry and an agent are declared in this
+// file, so that a change of a message can't reach one end only. Bodies travel
+// as bytes: as raw JSON the encoder would rewrite them (it compacts and escapes
+// them) and the digest of an answer would no longer match.
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+
+	"firford/lib/links"
+)
+
+const (
+	methodRun     = "request.run"
+	methodPart    = "request.part"
+	methodCollect = "request.collect"
+	methodResolve = "request.resolve"
+	methodCancel  = "request.cancel"
+	methodState   = "agent.state"
+
+	outcomeAnswered = "answered"
+	outcomeNotRun   = "not_run"
+	outcomeUnknown  = "unknown"
+
+	// Parts that wait for the connection are bounded for each attempt. Parts beyond
+	// the bound are dropped; the entry collects them when it sees the gap.
+	maxWaitingParts = 1024
+)
+
+// States of an agent.
+const (
+	StateServing  = "serving"
+	StateLoading  = "loading"
+	StateDraining = "draining"
+)
+
+type (
+	// State is what an agent tells the entries of itself, each second and
+	// immediately when State changes. Revision is the configuration in force.
+	State struct {
+		Incarnation string `json:"incarnation"`
+		Deployment  string `json:"deployment"`
+		Version     string `json:"version"`
+		State       string `json:"state"`
+		Running     int    `json:"running"`
+		Queued      int    `json:"queued"`
+		Slots       int    `json:"slots"`
+		Revision    int64  `json:"revision"`
+	}
+
+	// Peer is the other end of a link. *links.Link implements it.
+	Peer interface {
+		Call(ctx context.Context, method string, params, result any) error
+		Notify(method string, params any) error
+		Done() <-chan struct{}
+		Peer() links.Identity
+		Close()
+	}
+
+	runParams struct {
+		AttemptID    string `json:"attempt_id"`
+		RequestID    string `json:"request_id"`
+		Organisation string `json:"organisation"`
+		Deployment   string `json:"deployment"`
+		BudgetMS     int64  `json:"budget_ms"`
+		Idempotent   bool   `json:"idempotent,omitempty"`
+		Priority     int    `json:"priority"`
+		Stream       bool   `json:"stream,omitempty"`
+		Body         []byte `json:"body"`
+		AfterPart    int    `json:"after_part,omitempty"`
+	}
+
+	runResult struct {
+		Outcome      string `json:"outcome"`
+		Reason       string `json:"reason,omitempty"`
+		Message      string `json:"message,omitempty"`
+		RetryAfterMS int64  `json:"retry_after_ms,omitempty"`
+		Version      string `json:"version,omitempty"`
+		Parts        int    `json:"parts,omitempty"`
+		Digest       string `json:"digest,omitempty"`
+		Body         []byte `json:"body,omitempty"`
+		Running      int    `json:"running"`
+		Queued       int    `json:"queued"`
+		Slots        int    `json:"slots"`
+	}
+
+	partParams struct {
+		AttemptID string `json:"attempt_id"`
+		Part      int    `json:"part"`
+		Text      string `json:"text"`
+	}
+
+	collectParams struct {
+		AttemptID string `json:"attempt_id"`
+		AfterPart int    `json:"after_part"`
+		BudgetMS  int64  `json:"budget_ms"`
+	}
+
+	resolveParams struct {
+		AttemptID   string `json:"attempt_id"`
+		Incarnation string `json:"incarnation"`
+	}
+
+	resolveResult struct {
+		State AttemptState `json:"state"`
+	}
+
+	cancelParams struct {
+		AttemptID string `json:"attempt_id"`
+	}
+
+	// outbox sends the parts of one attempt in order without making the engine's
+	// reader wait for the connection.
+	outbox struct {
+		parts chan Part
+		sent  sync.WaitGroup
+	}
+)
+
+// RegisterRunner registers the agent's end of the request messages.
+func RegisterRunner(router *links.Router, runner Runner) {
+	links.OnCall(router, methodRun, func(ctx context.Context, link *links.Link, params runParams) (runResult, error) {
+		request := params.request(time.Now())
+		ctx, cancel := context.WithDeadline(ctx, request.Deadline)
+		defer cancel()
+		outcome := sendParts(link, func(deliver func(Part)) Outcome { return runner.Run(ctx, request, deliver) })
+		return newRunResult(outcome, runner.Load(), time.Now()), nil
+	})
+	links.OnCall(router, methodCollect, func(ctx context.Context, link *links.Link, params collectParams) (runResult, error) {
+		ctx, cancel := context.WithTimeout(ctx, time.Duration(params.BudgetMS)*time.Millisecond)
+		defer cancel()
+		outcome := sendParts(link, func(deliver func(Part)) Outcome {
+			return runner.Collect(ctx, params.AttemptID, params.AfterPart, deliver)
+		})
+		return newRunResult(outcome, runner.Load(), time.Now()), nil
+	})
+	links.OnCall(router, methodResolve, func(_ context.Context, _ *links.Link, params resolveParams) (resolveResult, error) {
+		return resolveResult{State: runner.Resolve(params.AttemptID)}, nil
+	})
+	links.OnNotification(router, methodCancel, func(_ *links.Link, params cancelParams) {
+		runner.Cancel(params.AttemptID)
+	})
+}
+
+// NotifyState tells the entry at the other end of the link the agent's state.
+func NotifyState(peer Peer, state State) error {
+	return peer.Notify(methodState, state)
+}
+
+// OnState registers the entry's end of agent.state. The handler must not block.
+func OnState(router *links.Router, handler func(link *links.Link, state State)) {
+	links.OnNotification(router, methodState, handler)
+}
+
+// sendParts runs the attempt and returns after its last part has been sent, so
+// that the outcome follows the parts on the connection.
+func sendParts(peer Peer, run func(deliver func(Part)) Outcome) Outcome {
+	box := &outbox{parts: make(chan Part, maxWaitingParts)}
+	box.sent.Go(func() { box.send(peer) })
+	outcome := run(box.put)
+	close(box.parts)
+	box.sent.Wait()
+	return outcome
+}
+
+func (box *outbox) put(part Part) {
+	select {
+	case box.parts <- part:
+	default:
+	}
+}
+
+func (box *outbox) send(peer Peer) {
+	broken := false
+	for part := range box.parts {
+		if !broken {
+			broken = peer.Notify(methodPart, partParams{AttemptID: part.AttemptID, Part: part.Number, Text: part.Text}) != nil
+		}
+	}
+}
+
+func newRunParams(request Request, now time.Time) runParams {
+	return runParams{
+		AttemptID:    request.AttemptID,
+		RequestID:    request.RequestID,
+		Organisation: request.Organisation,
+		Deployment:   request.Deployment,
+		BudgetMS:     request.Deadline.Sub(now).Milliseconds(),
+		Idempotent:   request.Idempotent,
+		Priority:     request.Priority,
+		Stream:       request.Stream,
+		Body:         request.Body,
+		AfterPart:    request.AfterPart,
+	}
+}
+
+func (params runParams) request(now time.Time) Request {
+	return Request{
+		AttemptID:    params.AttemptID,
+		RequestID:    params.RequestID,
+		Organisation: params.Organisation,
+		Deployment:   params.Deployment,
+		Deadline:     now.Add(time.Duration(params.BudgetMS) * time.Millisecond),
+		Idempotent:   params.Idempotent,
+		Priority:     params.Priority,
+		Stream:       params.Stream,
+		Body:         json.RawMessage(params.Body),
+		AfterPart:    params.AfterPart,
+	}
+}
+
+func newRunResult(outcome Outcome, load Load, now time.Time) runResult {
+	result := runResult{Running: load.Running, Queued: load.Queued, Slots: load.Slots}
+	switch ended := outcome.(type) {
+	case Answered:
+		result.Outcome, result.Version, result.Parts = outcomeAnswered, ended.Version, ended.Parts
+		result.Digest, result.Body = ended.Digest, ended.Body
+	case NotRun:
+		result.Outcome, result.Reason, result.Message = outcomeNotRun, ended.Code, ended.Message
+		result.RetryAfterMS = retryAfterMS(ended.RetryAt, now)
+	case Unknown:
+		result.Outcome, result.Reason, result.Message = outcomeUnknown, ended.Code, ended.Message
+	default:
+		result.Outcome, result.Reason = outcomeUnknown, CodeOutcomeUnknown
+		result.Message = "the agent returned an outcome of an unknown type"
+	}
+	return result
+}
+
+// retryAfterMS returns zero for the zero time, else at least one.
+func retryAfterMS(at, now time.Time) int64 {
+	if at.IsZero() {
+		return 0
+	}
+	return max(1, at.Sub(now).Milliseconds())
+}
+
+func (result runResult) outcome(now time.Time) Outcome {
+	switch result.Outcome {
+	case outcomeAnswered:
+		return Answered{Version: result.Version, Parts: result.Parts, Digest: result.Digest, Body: json.RawMessage(result.Body)}
+	case outcomeNotRun:
+		refusal := NotRun{Code: result.Reason, Message: result.Message}
+		if result.RetryAfterMS > 0 {
+			refusal.RetryAt = now.Add(time.Duration(result.RetryAfterMS) * time.Millisecond)
+		}
+		return refusal
+	case outcomeUnknown:
+		return Unknown{Code: result.Reason, Message: result.Message}
+	default:
+		return Unknown{Code: CodeOutcomeUnknown, Message: "the agent sent an unknown outcome " + result.Outcome}
+	}
+}
+
+// refusedByLink reports that the peer's link refused the call before any
+// handler saw it, so that the attempt can't have run.
+func refusedByLink(err error) bool {
+	var coded *jsonrpc2.Error
+	if !errors.As(err, &coded) {
+		return false
+	}
+	return coded.Code == links.CodeOverloaded || coded.Code == links.CodeUnauthenticated ||
+		coded.Code == jsonrpc2.CodeMethodNotFound || coded.Code == jsonrpc2.CodeInvalidParams
+}
