--- a/cmd/fakeengine/fake/engine.go
+++ b/cmd/fakeengine/fake/engine.go
@@ -87,8 +87,13 @@
 	waitingList []*sequence
 )
 
-// New returns an engine whose batch runs until the context ends.
-func New(ctx context.Context, settings Settings, journal journal, logger *zap.Logger, checker invariants.Asserter) *Engine {
+// New returns an engine whose batch runs until the context ends. It keeps its
+// record in memory only.
+func New(ctx context.Context, settings Settings, logger *zap.Logger, checker invariants.Asserter) *Engine {
+	return newEngine(ctx, settings, journal{}, logger, checker)
+}
+
+func newEngine(ctx context.Context, settings Settings, journal journal, logger *zap.Logger, checker invariants.Asserter) *Engine {
 	engine := &Engine{
 		settings: settings,
 		logger:   logger,
--- a/cmd/fakeengine/fake/settings.go
+++ b/cmd/fakeengine/fake/settings.go
@@ -98,7 +98,7 @@
 		if err != nil {
 			return fmt.Errorf("listen: %w", err)
 		}
-		engine := New(ctx, settings, journal, logger.With(zap.String("engine", address)), checker)
+		engine := newEngine(ctx, settings, journal, logger.With(zap.String("engine", address)), checker)
 		go func() { failures <- engine.Serve(ctx, listener) }()
 	}
 	logger.Info("serving", zap.String("address", settings.Address), zap.Int("count", settings.Count))
