--- a/lib/engines/client.go
+++ b/lib/engines/client.go
@@ -140,11 +140,15 @@
 	if err != nil {
 		return Answer{}, err
 	}
+	return decodeAnswer(body, call.RequestID)
+}
+
+func decodeAnswer(body []byte, requestID string) (Answer, error) {
 	var head callHead
 	if err := json.Unmarshal(body, &head); err != nil {
 		return Answer{}, &BrokenError{Err: fmt.Errorf("answer of a call: %w", err)}
 	}
-	if head.RequestID != "" && head.RequestID != call.RequestID {
+	if head.RequestID != "" && head.RequestID != requestID {
 		return Answer{}, &BrokenError{Err: fmt.Errorf("answer of a call belongs to request %q", head.RequestID)}
 	}
 	return Answer{Version: head.Version, Body: body}, nil
@@ -171,10 +175,17 @@
 	if err != nil {
 		return Status{}, err
 	}
+	return decodeStatus(body)
+}
+
+func decodeStatus(body []byte) (Status, error) {
 	var status Status
 	if err := json.Unmarshal(body, &status); err != nil {
 		return Status{}, &BrokenError{Err: fmt.Errorf("status: %w", err)}
 	}
+	if status.Slots < 0 || status.Running < 0 || status.Queued < 0 {
+		return Status{}, &BrokenError{Err: fmt.Errorf("status: negative load %+v", status)}
+	}
 	return status, nil
 }
 
