--- a/lib/admissions/admissions.go
+++ b/lib/admissions/admissions.go
@@ -71,7 +71,7 @@
 	replace(&limits.KeepAfter, time.Minute)
 	replace(&limits.OrphanLimit, 10*time.Second)
 	// Leaving must be noticed within 3 s: one interval and two time-outs of 1 s.
-	replace(&limits.StatusInterval, time.Second)
+	replace(&limits.StatusInterval, 500*time.Millisecond)
 	return limits
 }
 
