Add the operators' command line

Operators need tables, JSON, examples and exit codes that scripts can act on. firford calls any entry, shows each error with its reason and whether to retry, checks settings files and publishes versions.

Not run against an entry yet.

--- /dev/null
+++ b/cmd/firford/commands/states.go
@@ -0,0 +1,171 @@
+package commands
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+
+	"firford/lib/operators/wire"
+	"firford/lib/processes"
+)
+
+type (
+	enginesCommand struct {
+		Deployment string `arg:"--deployment" help:"list only this deployment (default: all)"`
+	}
+
+	statusCommand struct {
+		Revision int64 `arg:"--revision" help:"revision to ask for (default: the newest)"`
+	}
+
+	burnCommand struct {
+		Deployment string `arg:"--deployment" help:"report only this deployment (default: all)"`
+	}
+
+	checkCommand struct {
+		File string `arg:"positional,required" help:"settings file of an entry or an agent"`
+	}
+
+	engineView struct {
+		Host       string `json:"host"`
+		DataCentre string `json:"data_centre"`
+		Deployment string `json:"deployment"`
+		Version    string `json:"version"`
+		State      string `json:"state"`
+		Running    int32  `json:"running"`
+		Queued     int32  `json:"queued"`
+		Slots      int32  `json:"slots"`
+		AgeMS      int64  `json:"age_ms"`
+	}
+
+	statusView struct {
+		Revision   int64         `json:"revision"`
+		Everywhere bool          `json:"everywhere"`
+		Processes  int32         `json:"processes"`
+		Behind     []processView `json:"behind"`
+	}
+
+	processView struct {
+		Name       string `json:"name"`
+		Role       string `json:"role"`
+		DataCentre string `json:"data_centre"`
+		Revision   int64  `json:"revision"`
+		Problem    string `json:"problem,omitempty"`
+	}
+
+	checkView struct {
+		File string `json:"file"`
+		Role string `json:"role"`
+	}
+)
+
+func (*enginesCommand) example() string {
+	return "firford engines --deployment plant\n      lists the version and state of each engine of plant"
+}
+
+func (*statusCommand) example() string {
+	return "firford status --revision 42\n      lists the processes where revision 42 is not in force yet"
+}
+
+func (*burnCommand) example() string {
+	return "firford burn --deployment plant\n      shows how fast the error budgets of plant are used up"
+}
+
+func (*checkCommand) example() string {
+	return "firford check entry-01.ini\n      prints every mistake in the file"
+}
+
+func (command *enginesCommand) run(ctx context.Context, session *session) error {
+	return session.call(ctx, func(ctx context.Context, client wire.OperatorsClient) error {
+		list, err := client.ListEngines(ctx, &wire.ListEnginesRequest{Deployment: command.Deployment})
+		if err != nil {
+			return err
+		}
+		views, rows := []engineView{}, []string{}
+		for _, engine := range list.GetEngines() {
+			views = append(views, engineView{
+				Host: engine.GetHost(), DataCentre: engine.GetDataCentre(), Deployment: engine.GetDeployment(),
+				Version: engine.GetVersion(), State: engine.GetState(), Running: engine.GetRunning(),
+				Queued: engine.GetQueued(), Slots: engine.GetSlots(), AgeMS: engine.GetAgeMs(),
+			})
+			rows = append(rows, fmt.Sprintf("%s\t%s\t%s\t%s\t%s\t%d/%d\t%d\t%.1f s", engine.GetHost(), engine.GetDataCentre(),
+				engine.GetDeployment(), engine.GetVersion(), engine.GetState(), engine.GetRunning(), engine.GetSlots(),
+				engine.GetQueued(), float64(engine.GetAgeMs())/1000))
+		}
+		return session.show(views, table("HOST\tDATA CENTRE\tDEPLOYMENT\tVERSION\tSTATE\tRUNNING\tQUEUED\tAGE", rows))
+	})
+}
+
+func (command *statusCommand) run(ctx context.Context, session *session) error {
+	return session.call(ctx, func(ctx context.Context, client wire.OperatorsClient) error {
+		answer, err := client.GetRevisionStatus(ctx, &wire.RevisionStatusRequest{Revision: command.Revision})
+		if err != nil {
+			return err
+		}
+		view := statusView{
+			Revision: answer.GetRevision(), Everywhere: answer.GetEverywhere(), Processes: answer.GetProcesses(), Behind: []processView{},
+		}
+		for _, process := range answer.GetBehind() {
+			view.Behind = append(view.Behind, processView{
+				Name: process.GetName(), Role: process.GetRole(), DataCentre: process.GetDataCentre(),
+				Revision: process.GetRevision(), Problem: process.GetProblem(),
+			})
+		}
+		if err := session.show(view, view.text()); err != nil || view.Everywhere {
+			return err
+		}
+		return &codedError{ExitIncomplete, fmt.Sprintf("revision %d is not in force everywhere", view.Revision)}
+	})
+}
+
+func (view statusView) text() string {
+	if view.Everywhere {
+		return fmt.Sprintf("revision %d is in force at all %d processes\n", view.Revision, view.Processes)
+	}
+	rows := make([]string, 0, len(view.Behind))
+	for _, process := range view.Behind {
+		state := fmt.Sprintf("revision %d", process.Revision)
+		if process.Problem != "" {
+			state = "not reached: " + process.Problem
+		}
+		rows = append(rows, fmt.Sprintf("%s\t%s\t%s\t%s", process.Name, process.Role, process.DataCentre, state))
+	}
+	return fmt.Sprintf("revision %d is in force at %d of %d processes, not at:\n", view.Revision,
+		int(view.Processes)-len(view.Behind), view.Processes) + table("PROCESS\tROLE\tDATA CENTRE\tSTATE", rows)
+}
+
+func (command *burnCommand) run(ctx context.Context, session *session) error {
+	return session.call(ctx, func(ctx context.Context, client wire.OperatorsClient) error {
+		report, err := client.GetBurnReport(ctx, &wire.BurnReportRequest{Deployment: command.Deployment})
+		if err != nil {
+			return err
+		}
+		if session.arguments.JSON {
+			return session.show(json.RawMessage(report.GetJson()), "")
+		}
+		text, err := burnText(report.GetJson())
+		if err != nil {
+			return err
+		}
+		return session.show(nil, text)
+	})
+}
+
+// burnText renders the report for people.
+func burnText(encoded []byte) (string, error) {
+	var document any
+	if err := json.Unmarshal(encoded, &document); err != nil {
+		return "", fmt.Errorf("decode the burn report: %w", err)
+	}
+	indented, err := json.MarshalIndent(document, "", "  ")
+	return strings.TrimSpace(string(indented)) + "\n", err
+}
+
+func (command *checkCommand) run(_ context.Context, session *session) error {
+	role, err := processes.Check(command.File)
+	if err != nil {
+		return err
+	}
+	return session.show(checkView{File: command.File, Role: role}, fmt.Sprintf("%s: correct settings of an %s\n", command.File, role))
+}
--- a/lib/configurations/snapshot.go
+++ b/lib/configurations/snapshot.go
@@ -1,6 +1,7 @@
 package configurations
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"maps"
@@ -115,29 +116,44 @@
 	return entries
 }
 
-// DecodeObject reads an object of the kind from JSON. Unknown kinds are an error.
+// DecodeObject reads an object of the kind from JSON. Unknown kinds are an
+// error; unknown fields are not, because a newer process may have written them.
 func DecodeObject(kind string, encoded []byte) (Object, error) {
+	return decode(kind, encoded, json.Unmarshal)
+}
+
+// DecodeStrict is DecodeObject for what people write: it refuses unknown
+// fields, because a misspelt one would otherwise be dropped without a word.
+func DecodeStrict(kind string, encoded []byte) (Object, error) {
+	return decode(kind, encoded, func(encoded []byte, object any) error {
+		decoder := json.NewDecoder(bytes.NewReader(encoded))
+		decoder.DisallowUnknownFields()
+		return decoder.Decode(object)
+	})
+}
+
+func decode(kind string, encoded []byte, unmarshal func([]byte, any) error) (Object, error) {
 	switch kind {
 	case KindDeployment:
-		return decodeAs[Deployment](encoded)
+		return decodeAs[Deployment](encoded, unmarshal)
 	case KindModel:
-		return decodeAs[Model](encoded)
+		return decodeAs[Model](encoded, unmarshal)
 	case KindVersion:
-		return decodeAs[Version](encoded)
+		return decodeAs[Version](encoded, unmarshal)
 	case KindRouting:
-		return decodeAs[Routing](encoded)
+		return decodeAs[Routing](encoded, unmarshal)
 	case KindOrganisation:
-		return decodeAs[Organisation](encoded)
+		return decodeAs[Organisation](encoded, unmarshal)
 	case KindRollout:
-		return decodeAs[Rollout](encoded)
+		return decodeAs[Rollout](encoded, unmarshal)
 	default:
 		return nil, fmt.Errorf("unknown kind of configuration object %q", kind)
 	}
 }
 
-func decodeAs[T Object](encoded []byte) (Object, error) {
+func decodeAs[T Object](encoded []byte, unmarshal func([]byte, any) error) (Object, error) {
 	var object T
-	if err := json.Unmarshal(encoded, &object); err != nil {
+	if err := unmarshal(encoded, &object); err != nil {
 		return nil, fmt.Errorf("decode %s: %w", object.Kind(), err)
 	}
 	return object, nil
