Assemble the agent and the entry from their parts

The parts exist side by side; a request has to travel through all of them. Adds the two programs: listeners, configuration, transfers, loader, admission queue, request path and operators' calls, and an order of shutdown in which requests in progress finish first.

No version has been loaded through it yet.

--- a/cmd/bench/fleet/command.go
+++ b/cmd/bench/fleet/command.go
@@ -10,7 +10,7 @@
 type Command struct {
 	Directory          string   `arg:"--directory,required" help:"where to write the fleet's files"`
 	Binaries           string   `arg:"--binaries" default:"out/bin" help:"where the programs are"`
-	BasePort           int      `arg:"--base-port" default:"20000" help:"first port of the fleet; it uses 800"`
+	BasePort           int      `arg:"--base-port" default:"23000" help:"first port of the fleet; it uses 800"`
 	Entries            int      `arg:"--entries" default:"2" help:"number of entry hosts"`
 	DataCentres        []string `arg:"--data-centres" help:"names of the data centres (default: nairobi mombasa kisumu)"`
 	HostBytesPerSecond int64    `arg:"--host-bytes-per-s" default:"2097152" help:"rate of each host's link, each way; 0: no limit"`
--- a/cmd/bench/fleet/write.go
+++ b/cmd/bench/fleet/write.go
@@ -137,7 +137,10 @@
 func (plan Plan) engineProcess(agent agentPlace) Process {
 	address := plan.address(portEngine, agent.number)
 	name := strings.Replace(agent.name, "agent", "engine", 1)
-	arguments := []string{plan.binary("fakeengine"), "--address", address, "--empty"}
+	arguments := []string{plan.binary("fakeengine"), "--address", address}
+	if agent.pool.Type == "engine" {
+		arguments = append(arguments, "--empty")
+	}
 	if agent.number%2 == 0 {
 		// Half of the engines refuse an old fencing token, the others ignore it.
 		arguments = append(arguments, "--refuse-tokens")
--- a/cmd/bench/prepare/prepare.go
+++ b/cmd/bench/prepare/prepare.go
@@ -96,16 +96,20 @@
 	return hex.EncodeToString(token)
 }
 
-// pool returns the objects of one deployment. Plain services load no version.
+// pool returns the objects of one deployment. Plain services load no version;
+// engines get theirs by the first rollout.
 func (command *Command) pool(pool fleet.Pool) []*wire.Object {
 	deployment := &wire.Deployment{
 		Name: pool.Deployment, Type: pool.Type,
 		Objectives: &wire.Objectives{AnsweredShare: 0.999, FirstTokenMs: 370, TokenGapMs: 34, ReplicasMs: 60_000},
 	}
-	routing := &wire.Object{Value: &wire.Object_Routing{Routing: &wire.Routing{Deployment: pool.Deployment, Spill: "anywhere"}}}
 	if pool.Type != "engine" {
 		deployment.Objectives = &wire.Objectives{AnsweredShare: 0.999}
-		return []*wire.Object{{Value: &wire.Object_Deployment{Deployment: deployment}}, routing}
+		routing := &wire.Routing{Deployment: pool.Deployment, Spill: "anywhere"}
+		return []*wire.Object{
+			{Value: &wire.Object_Deployment{Deployment: deployment}},
+			{Value: &wire.Object_Routing{Routing: routing}},
+		}
 	}
 	deployment.Model = pool.Deployment + "-model"
 	deployment.Policy = command.Policy
@@ -115,6 +119,5 @@
 	return []*wire.Object{
 		{Value: &wire.Object_Model{Model: &wire.Model{Name: deployment.Model}}},
 		{Value: &wire.Object_Deployment{Deployment: deployment}},
-		routing,
 	}
 }
--- a/cmd/entry/main.go
+++ b/cmd/entry/main.go
@@ -1,4 +1,53 @@
-// Program entry is not built yet.
+// Command entry is the process of the system on an entry host: it answers callers
+// and operators, and sends requests to the agents beside the backend servers.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alexflint/go-arg"
+
+	"firford/cmd/entry/assembly"
+	"firford/lib/processes"
+)
+
+const (
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+type arguments struct {
+	Settings string `arg:"--settings,required" help:"settings file (INI)"`
+	Check    bool   `arg:"--check" help:"check the settings file and exit"`
+}
+
+func (arguments) Description() string {
+	return "Answers callers and operators. Exit codes: 0 stopped, 1 failed, 2 the settings are wrong."
+}
+
+func (arguments) Epilogue() string {
+	return "Example: entry --settings entry.ini"
+}
+
+func main() {
+	var given arguments
+	arg.MustParse(&given)
+	settings, err := processes.ReadEntry(given.Settings)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitSettings)
+	}
+	if given.Check {
+		return
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := assembly.Run(ctx, settings); err != nil {
+		fmt.Fprintln(os.Stderr, "entry:", err)
+		os.Exit(exitFailed)
+	}
+}
