Give the routing that a first rollout creates a spill setting

A deployment without a routing never finished its first rollout: the loader created a routing without a spill setting, which validation refuses. It now spills anywhere until an operator says otherwise.

--- a/lib/rollouts/loader.go
+++ b/lib/rollouts/loader.go
@@ -339,6 +339,11 @@
 	case SetRouting:
 		routing := view.Plan.Routing
 		routing.Deployment, routing.Version = view.Plan.Deployment.Name, decision.Version
+		if routing.Spill == "" {
+			// The first rollout of a deployment creates its routing. A request that
+			// finds no backend server nearby is better served far away than refused.
+			routing.Spill = configurations.SpillAnywhere
+		}
 		return loader.change(ctx, routing, view.Plan.RoutingRevision)
 	default:
 		return fmt.Errorf("unknown decision %T", decision)
