--- a/lib/backends/budgets.go
+++ b/lib/backends/budgets.go
@@ -84,7 +84,8 @@
 	}
 	if tokens < 1 {
 		wait := (1 - tokens) / share.RequestsPerSecond
-		return Pace{tokens: tokens, at: now}, false, now.Add(time.Duration(wait * float64(time.Second)))
+		// A millisecond more, so that rounding does not name a time before the token.
+		return Pace{tokens: tokens, at: now}, false, now.Add(time.Duration(wait*float64(time.Second)) + time.Millisecond)
 	}
 	return Pace{tokens: tokens - 1, at: now}, true, time.Time{}
 }
--- a/lib/requests/agents.go
+++ b/lib/requests/agents.go
@@ -40,7 +40,7 @@
 	agentView struct {
 		host     hosts.Host
 		peer     Peer
-		silent   time.Time
+		sighting hosts.Sighting
 		state    State
 		stateAt  time.Time
 		own      int
@@ -100,7 +100,7 @@
 	subsets := map[string][]string{}
 	for _, deployment := range configurations.All[configurations.Deployment](snapshot) {
 		routing, _, _ := configurations.Lookup[configurations.Routing](snapshot, deployment.Name)
-		suspects := backends.Suspects(agents.silences(deployment.Name), now)
+		suspects := backends.Suspects(agents.sighted(deployment.Name), now)
 		subset := backends.Subset(agents.self, deployment.Name, routing.Spill, members, func(name string) bool { return suspects[name] })
 		for _, host := range subset {
 			subsets[deployment.Name] = append(subsets[deployment.Name], host.Name)
@@ -128,11 +128,11 @@
 	return list
 }
 
-func (agents *Agents) silences(deployment string) []backends.Silence {
-	var list []backends.Silence
+func (agents *Agents) sighted(deployment string) []backends.Sighted {
+	var list []backends.Sighted
 	for _, name := range agents.subsets[deployment] {
 		if view, known := agents.views[name]; known {
-			list = append(list, backends.Silence{Name: name, Since: view.silent})
+			list = append(list, backends.Sighted{Host: view.host, Sighting: view.sighting})
 		}
 	}
 	return list
@@ -148,7 +148,8 @@
 	agents.members = listed
 	for _, host := range wanted {
 		if _, known := agents.views[host.Name]; !known {
-			agents.views[host.Name] = &agentView{host: host, silent: now}
+			// A new agent has until the silence limit to be reached.
+			agents.views[host.Name] = &agentView{host: host, sighting: hosts.Sighting{}.WithMessage(now)}
 		}
 	}
 	for name, view := range agents.views {
@@ -173,7 +174,7 @@
 	if view.state.Incarnation != peer.Peer().Incarnation {
 		view.state, view.stateAt = State{}, time.Time{}
 	}
-	view.peer, view.silent = peer, time.Time{}
+	view.peer, view.sighting = peer, view.sighting.WithMessage(time.Now())
 	agents.broadcast()
 	go agents.watch(name, peer)
 }
@@ -185,7 +186,7 @@
 	defer agents.mutex.Unlock()
 	view, known := agents.views[name]
 	if known && view.peer == peer {
-		view.peer, view.silent = nil, time.Now()
+		view.peer = nil
 	}
 }
 
@@ -201,7 +202,9 @@
 	if !known || state.Incarnation != peer.Peer().Incarnation {
 		return
 	}
-	view.state, view.stateAt = state, time.Now()
+	now := time.Now()
+	view.state, view.stateAt = state, now
+	view.sighting = view.sighting.WithMessage(now).WithDrain(state.State == StateDraining)
 	view.report(state.Running + state.Queued)
 }
 
--- a/lib/requests/check.go
+++ b/lib/requests/check.go
@@ -66,6 +66,11 @@
 	return &problem{status: status, refusal: NotRun{Code: code, Message: message}}
 }
 
+func tooLarge() *problem {
+	return newProblem(fasthttp.StatusRequestEntityTooLarge, CodeTooLarge,
+		fmt.Sprintf("the body is larger than %d bytes", MaxBodyBytes))
+}
+
 // check reads the request and refuses what can't be run.
 func (front *Front) check(ctx *fasthttp.RequestCtx, now time.Time) (asked, *problem) {
 	path := string(ctx.Path())
@@ -94,6 +99,9 @@
 		return asked{}, refused
 	}
 	call.Request.Organisation = organisation.Name
+	if !call.Request.Idempotent {
+		call.Request.RequestID = keyedRequestID(organisation.Name, call.Key)
+	}
 	return asked{organisation: organisation, call: call}, nil
 }
 
@@ -130,6 +138,9 @@
 	}
 	request.Deployment = deployment.Name
 	body := ctx.PostBody()
+	if len(body) > MaxBodyBytes {
+		return Call{}, tooLarge()
+	}
 	var read requestBody
 	if err := json.Unmarshal(body, &read); err != nil {
 		return Call{}, newProblem(fasthttp.StatusBadRequest, CodeMalformed, "the body is not valid: "+err.Error())
@@ -147,6 +158,12 @@
 	return Call{Request: request, Key: key}, nil
 }
 
+// keyedRequestID is the same for every repeat of a key, so that each of them
+// names the request that the backend server has seen.
+func keyedRequestID(organisation, key string) string {
+	return BodyDigest([]byte(claimKey(organisation, key)))[:2*idBytes]
+}
+
 func (read requestBody) check(deploymentType string) error {
 	if deploymentType == configurations.DeploymentService {
 		if read.Call == "" {
--- a/lib/requests/claimed.go
+++ b/lib/requests/claimed.go
@@ -14,9 +14,16 @@
 	"firford/lib/platform"
 )
 
-// A claim may change hands while a repeat looks at it; after so many changes
-// the outcome is reported as unknown.
-const maxClaimChanges = 3
+const (
+	// A claim may change hands while a repeat looks at it; after so many changes
+	// the outcome is reported as unknown.
+	maxClaimChanges = 3
+	// A repeat waits before it resolves a running claim. Resolving an attempt that
+	// its entry is about to send ends it, and two crossed requests that resolve
+	// each other's attempts would both go without an answer. Sending takes a few
+	// milliseconds.
+	resolveGrace = 100 * time.Millisecond
+)
 
 // runClaimed runs a request that is not idempotent.
 func (dispatcher *Dispatcher) runClaimed(ctx context.Context, call Call, passed *progress) Outcome {
@@ -169,6 +176,7 @@
 	if record.State == claimAnswered && record.Kept {
 		return replay(record, passed)
 	}
+	pause(ctx, resolveGrace)
 	state, peer, done, err := dispatcher.resolve(ctx, record)
 	if err != nil {
 		return lostAnswer(record, err.Error())
@@ -187,6 +195,13 @@
 	}
 }
 
+func pause(ctx context.Context, span time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(span):
+	}
+}
+
 // lostAnswer is the outcome of a repeat whose agent can't tell.
 func lostAnswer(record claimRecord, reason string) Outcome {
 	if record.State == claimAnswered {
--- a/lib/requests/claims.go
+++ b/lib/requests/claims.go
@@ -367,11 +367,7 @@
 		if result.err == nil {
 			return
 		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(backgroundPause):
-		}
+		pause(ctx, backgroundPause)
 	}
 }
 
--- a/lib/requests/front.go
+++ b/lib/requests/front.go
@@ -29,6 +29,9 @@
 	// MaxBodyBytes bounds the body of a caller's request.
 	MaxBodyBytes = 1 << 20
 
+	// Bodies up to this size are read and then refused. A connection that is closed
+	// with unread data resets, and the caller loses the refusal.
+	maxReadBytes     = 4 << 20
 	maxHeaderBytes   = 16 << 10
 	maxInProgress    = 16384
 	readTimeout      = 30 * time.Second
@@ -110,7 +113,7 @@
 		Handler:               front.handle,
 		ErrorHandler:          front.refuseUnread,
 		Name:                  "firford",
-		MaxRequestBodySize:    MaxBodyBytes,
+		MaxRequestBodySize:    maxReadBytes,
 		ReadBufferSize:        maxHeaderBytes,
 		ReadTimeout:           readTimeout,
 		IdleTimeout:           idleTimeout,
@@ -138,9 +141,8 @@
 // refuseUnread answers a request that the server could not read.
 func (front *Front) refuseUnread(ctx *fasthttp.RequestCtx, err error) {
 	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
-		front.refuse(ctx, fasthttp.StatusRequestEntityTooLarge, NotRun{
-			Code: CodeTooLarge, Message: "the body is larger than " + strconv.Itoa(MaxBodyBytes) + " bytes",
-		})
+		problem := tooLarge()
+		front.refuse(ctx, problem.status, problem.refusal)
 		return
 	}
 	front.refuse(ctx, fasthttp.StatusBadRequest, NotRun{Code: CodeMalformed, Message: "the request could not be read"})
