Keep asking a fleet over HTTP and verify every answer

Demo and long run need callers that record from outside how each request ended. The callers compute the answer that each request should have, follow a lost connection to the next entry with the same key, and write one line for each request.

--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -11,6 +11,7 @@
 
 	"github.com/alexflint/go-arg"
 
+	"firford/cmd/bench/callers"
 	"firford/cmd/bench/fleet"
 	"firford/cmd/bench/operations"
 	"firford/cmd/bench/prepare"
@@ -26,6 +27,7 @@
 		Fleet      *fleet.Command      `arg:"subcommand:fleet" help:"write the settings, lists and command lines of a fleet on this machine"`
 		Prepare    *prepare.Command    `arg:"subcommand:prepare" help:"configure a running fleet: models, deployments, organisations"`
 		Operations *operations.Command `arg:"subcommand:operations" help:"let operators race each other, and check that accepted changes stay in force"`
+		Callers    *callers.Command    `arg:"subcommand:callers" help:"keep asking a fleet, verify and record every answer"`
 	}
 )
 
--- a/cmd/bench/soak/soak_test.go
+++ b/cmd/bench/soak/soak_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/sebdah/goldie/v2"
 	"github.com/smartystreets/goconvey/convey"
+
+	"firford/cmd/bench/callers"
 )
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -18,9 +20,9 @@
 func wholeEvidence() Evidence {
 	return Evidence{
 		Published: []string{"v1"},
-		Asked: []Asked{
-			{Key: "a", RequestID: "1", Entry: "entry-01", Outcome: outcomeAnswered, Started: at(0), Ended: at(1), Deadline: at(5)},
-			{Key: "b", RequestID: "2", Entry: "entry-01", Idempotent: true, Outcome: outcomeNotRun, Started: at(0), Ended: at(1), Deadline: at(5)},
+		Asked: []callers.Asked{
+			{Key: "a", RequestID: "1", Entry: "entry-01", Outcome: callers.OutcomeAnswered, Started: at(0), Ended: at(1), Deadline: at(5)},
+			{Key: "b", RequestID: "2", Entry: "entry-01", Idempotent: true, Outcome: callers.OutcomeNotRun, Started: at(0), Ended: at(1), Deadline: at(5)},
 		},
 		Executed: []Executed{
 			{Server: "engine-01", Kind: kindServed, Version: "v1", At: at(0)},
@@ -48,7 +50,7 @@
 			evidence.Executed = append(evidence.Executed, Executed{Server: "engine-01", Kind: "generate", ID: "3", At: at(13.5)})
 		},
 		CleanShutdown: func(evidence *Evidence) {
-			evidence.Asked = append(evidence.Asked, Asked{Key: "c", Entry: "entry-01", Outcome: outcomeLost, Started: at(29), Ended: at(31), Deadline: at(29)})
+			evidence.Asked = append(evidence.Asked, callers.Asked{Key: "c", Entry: "entry-01", Outcome: callers.OutcomeLost, Started: at(29), Ended: at(31), Deadline: at(29)})
 		},
 		ConfigInForce:  func(evidence *Evidence) { evidence.Configuration = []string{"behind"} },
 		AnsweredInTime: func(evidence *Evidence) { evidence.Asked[0].Ended = at(7) },
--- a/cmd/bench/soak/verdict.go
+++ b/cmd/bench/soak/verdict.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"slices"
 	"time"
+
+	"firford/cmd/bench/callers"
 )
 
 // The promises that a long run judges, in the order of its last line.
@@ -24,11 +26,6 @@
 	// A caller's own clock and scheduling may add this to the end of a request.
 	deadlineGrace = time.Second
 
-	outcomeAnswered = "answered"
-	outcomeNotRun   = "not_run"
-	// outcomeLost means that the connection ended without an outcome.
-	outcomeLost = "lost"
-
 	kindServed = "served"
 )
 
@@ -36,23 +33,6 @@
 	// Promise names what must always hold.
 	Promise string
 
-	// Asked is one request as its caller has recorded it. Wrong tells how an
-	// answer differs from the one that the request should have; it is empty for a
-	// whole answer of its own. RequestID is empty where no answer named one.
-	Asked struct {
-		Key        string    `json:"key"`
-		RequestID  string    `json:"request_id"`
-		Entry      string    `json:"entry"`
-		Idempotent bool      `json:"idempotent"`
-		Outcome    string    `json:"outcome"`
-		Code       string    `json:"code"`
-		Version    string    `json:"version"`
-		Wrong      string    `json:"wrong"`
-		Started    time.Time `json:"started"`
-		Ended      time.Time `json:"ended"`
-		Deadline   time.Time `json:"deadline"`
-	}
-
 	// Executed is one line of a backend server's journal.
 	Executed struct {
 		Server     string    `json:"-"`
@@ -73,7 +53,7 @@
 
 	// Evidence is everything that was recorded outside of the system.
 	Evidence struct {
-		Asked     []Asked
+		Asked     []callers.Asked
 		Executed  []Executed
 		Injected  []Injected
 		Published []string
@@ -123,7 +103,7 @@
 func judgeAnswers(evidence Evidence) []Violation {
 	var violations []Violation
 	for _, asked := range evidence.Asked {
-		if asked.Outcome == outcomeAnswered && asked.Wrong != "" {
+		if asked.Outcome == callers.OutcomeAnswered && asked.Wrong != "" {
 			violations = append(violations, violation(OwnAnswer, "request %s: %s", asked.Key, asked.Wrong))
 		}
 	}
@@ -141,7 +121,7 @@
 	}
 	var violations []Violation
 	for _, asked := range evidence.Asked {
-		if server, found := ran[asked.RequestID]; found && asked.Outcome == outcomeNotRun && asked.RequestID != "" {
+		if server, found := ran[asked.RequestID]; found && asked.Outcome == callers.OutcomeNotRun && asked.RequestID != "" {
 			violations = append(violations, violation(TrueRefusal, "request %s (%s) ran on %s and was refused with %s", asked.Key, asked.RequestID, server, asked.Code))
 		}
 	}
@@ -202,7 +182,7 @@
 		}
 		for _, asked := range evidence.Asked {
 			running := asked.Started.Before(fault.Start) && asked.Ended.After(fault.Start)
-			if asked.Entry == fault.Target && running && asked.Outcome == outcomeLost && !broken(evidence, asked, TerminateEntry) {
+			if asked.Entry == fault.Target && running && asked.Outcome == callers.OutcomeLost && !broken(evidence, asked, TerminateEntry) {
 				violations = append(violations, violation(CleanShutdown, "request %s was cut off when %s was stopped", asked.Key, fault.Target))
 			}
 		}
@@ -229,7 +209,7 @@
 		if late := asked.Ended.Sub(asked.Deadline); late > deadlineGrace {
 			violations = append(violations, violation(AnsweredInTime, "request %s ended %s after its deadline", asked.Key, late.Round(time.Millisecond)))
 		}
-		if asked.Outcome == outcomeLost {
+		if asked.Outcome == callers.OutcomeLost {
 			violations = append(violations, violation(AnsweredInTime, "request %s ended without an outcome", asked.Key))
 		}
 	}
@@ -238,7 +218,7 @@
 
 // broken reports that a fault hit the entry of a request while it was running.
 // The kind in except is not counted.
-func broken(evidence Evidence, asked Asked, except Kind) bool {
+func broken(evidence Evidence, asked callers.Asked, except Kind) bool {
 	for _, fault := range evidence.Injected {
 		hit := fault.Kind == KillEntry || fault.Kind == FreezeEntry || fault.Kind == TerminateEntry && asked.Started.After(fault.Start)
 		if hit && fault.Kind != except && fault.Target == asked.Entry && asked.Ended.After(fault.Start) && asked.Started.Before(fault.End.Add(deadlineGrace)) {
