Add make demo: a burst at today's size under load

An operator or a newcomer should see the whole system work with one command. Processes that die are started again; the stand-in for the platform keeps its state in a folder, as the real one survives the loss of a host.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 GO_FILES = $$(git ls-files --cached --others --exclude-standard '*.go' | grep -v '\.pb\.go$$')
 
 
-.PHONY: help build test format format-check lint vet unit race clean
+.PHONY: help build demo test format format-check lint vet unit race clean
 
 help: ## List the jobs
 	@grep -E '^[a-z_-]+:.*##' Makefile | sed 's/:.*##/:/'
@@ -37,5 +37,8 @@
 unit: ## All tests without the race detector
 	@go test work
 
+demo: build ## Push a version to a small fleet on stand-ins while callers keep asking
+	@scripts/demo.sh
+
 clean: ## Remove everything that the build made
 	@rm -rf $(OUT)
--- a/cmd/bench/callers/command.go
+++ b/cmd/bench/callers/command.go
@@ -1,7 +1,6 @@
 package callers
 
 import (
-	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -42,7 +41,8 @@
 		prefix  string
 
 		mutex  sync.Mutex
-		record *bufio.Writer
+		record *os.File
+		failed error
 	}
 )
 
@@ -52,13 +52,14 @@
 	if err != nil {
 		return err
 	}
-	file, err := os.Create(command.Record)
+	// A caller that is killed and started again goes on in the same record.
+	file, err := os.OpenFile(command.Record, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
 	if err != nil {
-		return fmt.Errorf("create record: %w", err)
+		return fmt.Errorf("open record: %w", err)
 	}
 	defer func() { _ = file.Close() }()
 	crowd := &crowd{
-		command: command, asker: NewAsker(), tokens: tokens, record: bufio.NewWriter(file),
+		command: command, asker: NewAsker(), tokens: tokens, record: file,
 		// Keys must not meet those of an earlier run on the same fleet.
 		prefix: fmt.Sprintf("%x", time.Now().UnixNano()),
 	}
@@ -70,7 +71,7 @@
 		callers.Go(func() { crowd.call(ctx, number, random) })
 	}
 	callers.Wait()
-	return crowd.record.Flush()
+	return crowd.failed
 }
 
 func readTokens(path string) ([]string, error) {
@@ -150,5 +151,7 @@
 	}
 	crowd.mutex.Lock()
 	defer crowd.mutex.Unlock()
-	_, _ = crowd.record.Write(append(encoded, '\n')) // Flush returns the first error.
+	if _, err := crowd.record.Write(append(encoded, '\n')); err != nil && crowd.failed == nil {
+		crowd.failed = fmt.Errorf("write record: %w", err)
+	}
 }
--- a/cmd/bench/fleet/write.go
+++ b/cmd/bench/fleet/write.go
@@ -112,7 +112,7 @@
 		{Name: "platform", Ready: platform, Arguments: []string{
 			plan.binary("fakeplatform"), "--listen", platform, "--token-file", plan.path("platform.token"),
 			"--hosts", plan.path("hosts.json"), "--origin-bytes-per-s", strconv.FormatInt(plan.OriginBytesPerSec, 10),
-			"--membership-lag", "2s",
+			"--membership-lag", "2s", "--state", plan.path("platform"),
 		}},
 		{Name: "network", Ready: network, Arguments: []string{
 			plan.binary("fakenetwork"), "--routes", plan.path("routes.json"), "--admin", network,
--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -12,6 +12,7 @@
 	"github.com/alexflint/go-arg"
 
 	"firford/cmd/bench/callers"
+	"firford/cmd/bench/demo"
 	"firford/cmd/bench/fleet"
 	"firford/cmd/bench/operations"
 	"firford/cmd/bench/prepare"
@@ -28,6 +29,7 @@
 		Prepare    *prepare.Command    `arg:"subcommand:prepare" help:"configure a running fleet: models, deployments, organisations"`
 		Operations *operations.Command `arg:"subcommand:operations" help:"let operators race each other, and check that accepted changes stay in force"`
 		Callers    *callers.Command    `arg:"subcommand:callers" help:"keep asking a fleet, verify and record every answer"`
+		Demo       *demo.Command       `arg:"subcommand:demo" help:"print the table of a demonstration from its records"`
 	}
 )
 
--- a/cmd/fakeplatform/main.go
+++ b/cmd/fakeplatform/main.go
@@ -24,6 +24,7 @@
 	OriginBytesPerS int64         `arg:"--origin-bytes-per-s" default:"0" help:"rate of the origin's link; 0: no limit"`
 	WritesPerS      int           `arg:"--writes-per-s" default:"400" help:"writes to table and objects; above: 429"`
 	ReadsPerS       int           `arg:"--reads-per-s" default:"2000" help:"reads of table, objects and membership; above: 429"`
+	State           string        `arg:"--state" help:"folder that keeps table, objects and weights when the process is killed"`
 	MembershipLag   time.Duration `arg:"--membership-lag" default:"0s" help:"time until a change of the membership list is visible"`
 }
 
@@ -68,5 +69,11 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	return server.New(settings).Serve(ctx, listener)
+	platform := server.New(settings)
+	if given.State != "" {
+		if err := platform.KeepState(given.State); err != nil {
+			return err
+		}
+	}
+	return platform.Serve(ctx, listener)
 }
--- a/cmd/fakeplatform/server/server.go
+++ b/cmd/fakeplatform/server/server.go
@@ -58,6 +58,7 @@
 
 		mutex       sync.Mutex
 		objects     map[string][]byte
+		state       state
 		connections *connections
 		running     context.Context
 	}
@@ -93,6 +94,18 @@
 	}
 }
 
+// KeepState makes the server continue with what an earlier one has left in the
+// folder and keep its own state there. Call it before Serve.
+func (server *Server) KeepState(folder string) error {
+	opened, err := openState(folder, server.table, server.objects, server.origin)
+	if err != nil {
+		return err
+	}
+	server.state = opened
+	server.table.commit = opened.commit
+	return nil
+}
+
 func newLimiter(perSecond int) *rate.Limiter {
 	if perSecond <= 0 {
 		return rate.NewLimiter(rate.Inf, 0)
@@ -288,7 +301,11 @@
 	if !server.admitWrite(ctx, keys...) {
 		return
 	}
-	revision, conflicts := server.table.transact(wanted.Conditions, wanted.Writes)
+	revision, conflicts, err := server.table.transact(wanted.Conditions, wanted.Writes)
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusServiceUnavailable)
+		return
+	}
 	if conflicts != nil {
 		ctx.SetStatusCode(fasthttp.StatusConflict)
 		reply(ctx, rowList{Rows: conflicts})
@@ -328,6 +345,10 @@
 		ctx.Error("too many objects", fasthttp.StatusInsufficientStorage)
 		return
 	}
+	if err := server.state.save(objectsFolder, name, content); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusServiceUnavailable)
+		return
+	}
 	server.maybeLoseAnswer(ctx)
 }
 
@@ -374,6 +395,10 @@
 	}
 	if err := server.origin.put(name, content); err != nil {
 		ctx.Error(err.Error(), fasthttp.StatusInsufficientStorage)
+		return
+	}
+	if err := server.state.save(weightsFolder, name, content); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusServiceUnavailable)
 	}
 }
 
--- a/cmd/fakeplatform/server/server_test.go
+++ b/cmd/fakeplatform/server/server_test.go
@@ -58,6 +58,32 @@
 	return total
 }
 
+// Guards against a stand-in that forgets accepted writes when it is killed,
+// which the real platform does not.
+func TestKeptState(t *testing.T) {
+	convey.Convey("A second server on the same folder continues with the first one's state", t, func() {
+		folder := t.TempDir()
+		first := New(Settings{})
+		convey.So(first.KeepState(folder), convey.ShouldBeNil)
+		writes := []platform.Write{{Key: "a", Value: []byte("x")}, {Key: "b", Value: []byte("y")}}
+		revision, _, err := first.table.transact(nil, writes)
+		convey.So(err, convey.ShouldBeNil)
+		_, _, err = first.table.transact(nil, []platform.Write{{Key: "b", Delete: true}})
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(first.state.save(objectsFolder, "manifests/1", []byte("m")), convey.ShouldBeNil)
+
+		second := New(Settings{})
+		convey.So(second.KeepState(folder), convey.ShouldBeNil)
+		row, known := second.table.read("a")
+		convey.So(known, convey.ShouldBeTrue)
+		convey.So(row.Revision, convey.ShouldEqual, revision)
+		_, known = second.table.read("b")
+		convey.So(known, convey.ShouldBeFalse)
+		convey.So(second.table.revision, convey.ShouldEqual, revision+1)
+		convey.So(string(second.objects["manifests/1"]), convey.ShouldEqual, "m")
+	})
+}
+
 // Guards against a stand-in that is laxer than the real table: lost updates,
 // half transactions, scans that miss a write.
 func TestTransactions(t *testing.T) {
--- /dev/null
+++ b/cmd/fakeplatform/server/state.go
@@ -0,0 +1,128 @@
+package server
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"net/url"
+	"os"
+	"path/filepath"
+
+	"firford/lib/platform"
+)
+
+const (
+	tableFile     = "table.jsonl"
+	objectsFolder = "objects"
+	weightsFolder = "weights"
+	maxStateLine  = 16 << 20
+)
+
+type (
+	// state keeps what the real platform would keep when this process is killed:
+	// the table as a journal of transactions, objects and weights as files. The
+	// zero state keeps nothing.
+	state struct {
+		folder string
+		table  *os.File
+	}
+
+	committed struct {
+		Revision int64            `json:"revision"`
+		Writes   []platform.Write `json:"writes"`
+	}
+)
+
+// openState creates the folder or reads what an earlier process has left there.
+func openState(folder string, table *table, objects map[string][]byte, origin *origin) (state, error) {
+	for _, name := range []string{objectsFolder, weightsFolder} {
+		if err := os.MkdirAll(filepath.Join(folder, name), 0o755); err != nil {
+			return state{}, fmt.Errorf("open state: %w", err)
+		}
+	}
+	if err := replay(filepath.Join(folder, tableFile), table); err != nil {
+		return state{}, err
+	}
+	file, err := os.OpenFile(filepath.Join(folder, tableFile), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
+	if err != nil {
+		return state{}, fmt.Errorf("open state: %w", err)
+	}
+	opened := state{folder: folder, table: file}
+	err = opened.each(objectsFolder, func(name string, content []byte) error {
+		objects[name] = content
+		return nil
+	})
+	if err == nil {
+		err = opened.each(weightsFolder, origin.put)
+	}
+	return opened, err
+}
+
+// replay applies the journal to the table. A last line without its end belongs
+// to a transaction that was never answered.
+func replay(path string, table *table) error {
+	file, err := os.Open(path)
+	if os.IsNotExist(err) {
+		return nil
+	}
+	if err != nil {
+		return fmt.Errorf("replay table: %w", err)
+	}
+	defer func() { _ = file.Close() }()
+	lines := bufio.NewScanner(file)
+	lines.Buffer(nil, maxStateLine)
+	for lines.Scan() {
+		var entry committed
+		if json.Unmarshal(lines.Bytes(), &entry) != nil {
+			break
+		}
+		table.apply(entry.Revision, entry.Writes)
+	}
+	return lines.Err()
+}
+
+// commit appends a transaction before it is answered.
+func (state state) commit(revision int64, writes []platform.Write) error {
+	if state.table == nil {
+		return nil
+	}
+	line, err := json.Marshal(committed{Revision: revision, Writes: writes})
+	if err != nil {
+		return err
+	}
+	_, err = state.table.Write(append(line, '\n'))
+	return err
+}
+
+// save writes a file under another name first, so that a kill leaves no half file.
+func (state state) save(folder, name string, content []byte) error {
+	if state.folder == "" {
+		return nil
+	}
+	path := filepath.Join(state.folder, folder, url.QueryEscape(name))
+	if err := os.WriteFile(path+".new", content, 0o644); err != nil {
+		return err
+	}
+	return os.Rename(path+".new", path)
+}
+
+func (state state) each(folder string, take func(name string, content []byte) error) error {
+	files, err := os.ReadDir(filepath.Join(state.folder, folder))
+	if err != nil {
+		return fmt.Errorf("read state: %w", err)
+	}
+	for _, file := range files {
+		name, err := url.QueryUnescape(file.Name())
+		if err != nil || filepath.Ext(file.Name()) == ".new" {
+			continue
+		}
+		content, err := os.ReadFile(filepath.Join(state.folder, folder, file.Name()))
+		if err != nil {
+			return fmt.Errorf("read state: %w", err)
+		}
+		if err := take(name, content); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/cmd/fakeplatform/server/table.go
+++ b/cmd/fakeplatform/server/table.go
@@ -15,15 +15,20 @@
 	mutex    sync.Mutex
 	revision int64
 	rows     map[string]platform.Row
+	// commit makes a transaction durable before it takes effect.
+	commit func(revision int64, writes []platform.Write) error
 }
 
 func newTable() *table {
-	return &table{rows: map[string]platform.Row{}}
+	return &table{
+		rows:   map[string]platform.Row{},
+		commit: func(int64, []platform.Write) error { return nil },
+	}
 }
 
 // transact makes all writes if all conditions hold. Otherwise it returns the
 // rows that did not meet their condition and writes nothing.
-func (table *table) transact(conditions []platform.Condition, writes []platform.Write) (int64, []platform.Row) {
+func (table *table) transact(conditions []platform.Condition, writes []platform.Write) (int64, []platform.Row, error) {
 	table.mutex.Lock()
 	defer table.mutex.Unlock()
 	var conflicts []platform.Row
@@ -37,9 +42,19 @@
 		}
 	}
 	if len(conflicts) > 0 {
-		return 0, conflicts
+		return 0, conflicts, nil
+	}
+	if err := table.commit(table.revision+1, writes); err != nil {
+		return 0, nil, err
 	}
-	table.revision++
+	table.apply(table.revision+1, writes)
+	return table.revision, nil, nil
+}
+
+// apply makes the writes of a transaction. The caller holds the lock or owns
+// the table.
+func (table *table) apply(revision int64, writes []platform.Write) {
+	table.revision = revision
 	for _, write := range writes {
 		if write.Delete {
 			delete(table.rows, write.Key)
@@ -47,7 +62,6 @@
 		}
 		table.rows[write.Key] = platform.Row{Key: write.Key, Value: write.Value, Revision: table.revision}
 	}
-	return table.revision, nil
 }
 
 func (table *table) read(key string) (platform.Row, bool) {
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -45,3 +45,30 @@
   kill "-$1" "$id" 2>/dev/null
   wait "$id" 2>/dev/null
 }
+
+# fleet_supervise starts processes of the list again that have died, as the
+# platform replaces a host, until fleet_unsupervise. It runs in a subshell that
+# leaves the ids of what it started in files; stop_all reads them from there.
+fleet_supervise() {
+  (
+    trap 'exit 0' TERM
+    trap - EXIT
+    while sleep 0.5; do
+      while IFS=$'\t' read -r name _ _; do
+        [ -e "$RUN/$name.pid" ] || continue
+        kill -0 "$(cat "$RUN/$name.pid")" 2>/dev/null || fleet_start "$name"
+      done <"$RUN/processes.tsv"
+    done
+  ) &
+  FLEET_SUPERVISOR=$!
+}
+
+# fleet_unsupervise ends the supervision and takes over the ids of its processes.
+fleet_unsupervise() {
+  [ -n "${FLEET_SUPERVISOR:-}" ] || return 0
+  kill -TERM "$FLEET_SUPERVISOR" 2>/dev/null
+  wait "$FLEET_SUPERVISOR" 2>/dev/null
+  FLEET_SUPERVISOR=
+  local file
+  for file in "$RUN"/*.pid; do PROCESS_IDS+=("$(cat "$file")"); done
+}
--- a/scripts/processes.sh
+++ b/scripts/processes.sh
@@ -16,6 +16,7 @@
 # stop_all ends every process that this script started.
 stop_all() {
   trap - EXIT INT TERM
+  if declare -F fleet_unsupervise >/dev/null; then fleet_unsupervise; fi
   local id
   for id in "${PROCESS_IDS[@]}"; do kill -CONT "$id" 2>/dev/null; kill -TERM "$id" 2>/dev/null; done
   for id in "${PROCESS_IDS[@]}"; do
