--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 GO_FILES = $$(git ls-files --cached --others --exclude-standard '*.go' | grep -v '\.pb\.go$$')
 
 
-.PHONY: help build test format format-check lint vet unit race clean
+.PHONY: bench_config help build test format format-check lint vet unit race clean
 
 help: ## List the jobs
 	@grep -E '^[a-z_-]+:.*##' Makefile | sed 's/:.*##/:/'
@@ -39,3 +39,6 @@
 
 clean: ## Remove everything that the build made
 	@rm -rf $(OUT)
+
+bench_config: build ## Time until configuration changes are in force, and what they cost
+	@scripts/bench_config.sh
--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -11,6 +11,7 @@
 
 	"github.com/alexflint/go-arg"
 
+	"firford/cmd/bench/config"
 	"firford/cmd/bench/fleet"
 	"firford/cmd/bench/operations"
 	"firford/cmd/bench/prepare"
@@ -23,9 +24,12 @@
 	}
 
 	arguments struct {
-		Fleet      *fleet.Command      `arg:"subcommand:fleet" help:"write the settings, lists and command lines of a fleet on this machine"`
-		Prepare    *prepare.Command    `arg:"subcommand:prepare" help:"configure a running fleet: models, deployments, organisations"`
-		Operations *operations.Command `arg:"subcommand:operations" help:"let operators race each other, and check that accepted changes stay in force"`
+		ConfigNode    *config.NodeCommand    `arg:"subcommand:config-node" help:"run one process of the configuration measurement"`
+		ConfigDrive   *config.DriveCommand   `arg:"subcommand:config-drive" help:"measure the configuration changes of running processes"`
+		ConfigSummary *config.SummaryCommand `arg:"subcommand:config-summary" help:"print and save the configuration measurements of several sizes"`
+		Fleet         *fleet.Command         `arg:"subcommand:fleet" help:"write the settings, lists and command lines of a fleet on this machine"`
+		Prepare       *prepare.Command       `arg:"subcommand:prepare" help:"configure a running fleet: models, deployments, organisations"`
+		Operations    *operations.Command    `arg:"subcommand:operations" help:"let operators race each other, and check that accepted changes stay in force"`
 	}
 )
 
