--- a/lib/requests/claimed.go
+++ b/lib/requests/claimed.go
@@ -135,9 +135,6 @@
 			return dispatcher.claimAndRun(ctx, call, held, own, passed, changes-1)
 		}
 	}
-	// The refusal is final, so the deadline of the request no longer matters.
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), transactTimeout)
-	defer cancel()
 	result := dispatcher.claims.remove(ctx, own)
 	switch {
 	case result.err != nil:
--- a/lib/requests/fakes_test.go
+++ b/lib/requests/fakes_test.go
@@ -124,8 +124,9 @@
 func (runner *fakeRunner) Collect(ctx context.Context, attemptID string, afterPart int, deliver func(Part)) Outcome {
 	runner.mutex.Lock()
 	attempt := runner.attempts[attemptID]
+	unknown := attempt == nil || attempt.state == AttemptNotRun
 	runner.mutex.Unlock()
-	if attempt == nil || attempt.state == AttemptNotRun {
+	if unknown {
 		return Unknown{Code: CodeOutcomeUnknown, Message: "no such attempt"}
 	}
 	return runner.follow(ctx, attemptID, attempt, afterPart, deliver)
--- a/lib/requests/wire.go
+++ b/lib/requests/wire.go
@@ -127,19 +127,10 @@
 // RegisterRunner registers the agent's end of the request messages.
 func RegisterRunner(router *links.Router, runner Runner) {
 	links.OnCall(router, methodRun, func(ctx context.Context, link *links.Link, params runParams) (runResult, error) {
-		request := params.request(time.Now())
-		ctx, cancel := context.WithDeadline(ctx, request.Deadline)
-		defer cancel()
-		outcome := sendParts(link, func(deliver func(Part)) Outcome { return runner.Run(ctx, request, deliver) })
-		return newRunResult(outcome, runner.Load(), time.Now()), nil
+		return serveRun(ctx, link, runner, params), nil
 	})
 	links.OnCall(router, methodCollect, func(ctx context.Context, link *links.Link, params collectParams) (runResult, error) {
-		ctx, cancel := context.WithTimeout(ctx, time.Duration(params.BudgetMS)*time.Millisecond)
-		defer cancel()
-		outcome := sendParts(link, func(deliver func(Part)) Outcome {
-			return runner.Collect(ctx, params.AttemptID, params.AfterPart, deliver)
-		})
-		return newRunResult(outcome, runner.Load(), time.Now()), nil
+		return serveCollect(ctx, link, runner, params), nil
 	})
 	links.OnCall(router, methodResolve, func(_ context.Context, _ *links.Link, params resolveParams) (resolveResult, error) {
 		return resolveResult{State: runner.Resolve(params.AttemptID)}, nil
@@ -149,6 +140,23 @@
 	})
 }
 
+func serveRun(ctx context.Context, peer Peer, runner Runner, params runParams) runResult {
+	request := params.request(time.Now())
+	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
+	defer cancel()
+	outcome := sendParts(peer, func(deliver func(Part)) Outcome { return runner.Run(ctx, request, deliver) })
+	return newRunResult(outcome, runner.Load(), time.Now())
+}
+
+func serveCollect(ctx context.Context, peer Peer, runner Runner, params collectParams) runResult {
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(params.BudgetMS)*time.Millisecond)
+	defer cancel()
+	outcome := sendParts(peer, func(deliver func(Part)) Outcome {
+		return runner.Collect(ctx, params.AttemptID, params.AfterPart, deliver)
+	})
+	return newRunResult(outcome, runner.Load(), time.Now())
+}
+
 // NotifyState tells the entry at the other end of the link the agent's state.
 func NotifyState(peer Peer, state State) error {
 	return peer.Notify(methodState, state)
