Detect the loss of four more mechanisms in the tests of requests

With one mechanism removed at a time the tests still passed for the read-back of a lost claim write, the grace before resolving, the resumption of a stream and the wait at shutdown. They now check the attempts that reach the agent, that nothing is unanswered where nothing fails, and that shutdown follows the last request.

--- a/lib/requests/failures_test.go
+++ b/lib/requests/failures_test.go
@@ -66,6 +66,12 @@
 			convey.So(lines[:len(lines)-1], convey.ShouldResemble, expectedStream(body, 6))
 			convey.So(lines[len(lines)-1], convey.ShouldContainSubstring, `"outcome":"answered","parts":6`)
 		}
+		resumed := 0
+		for _, attempt := range fleet.runners[1].attempts {
+			convey.So(attempt.after, convey.ShouldBeIn, 0, 2)
+			resumed += attempt.after / 2
+		}
+		convey.So(resumed, convey.ShouldBeGreaterThan, 0)
 	})
 	convey.Convey("Where nothing can continue it, the last line says so", t, func() {
 		fleet.runners[1].stopAfter = 2
@@ -114,10 +120,10 @@
 		wait.Go(func() { _, lines = fleet.post(streamBody) })
 		waitFor(func() bool { return totalRuns(fleet, streamBody) == 1 })
 		fleet.stop()
-		wait.Wait()
-		convey.So(lines[:5], convey.ShouldResemble, expectedStream(streamBody, 5))
 		convey.So(<-fleet.ended, convey.ShouldBeNil)
 		convey.So(fleet.front.InProgress(), convey.ShouldEqual, 0)
+		wait.Wait()
+		convey.So(lines[:5], convey.ShouldResemble, expectedStream(streamBody, 5))
 		status, _ := fleet.post(plainBody)
 		convey.So(status, convey.ShouldEqual, 0)
 	})
@@ -180,11 +186,13 @@
 				faults = faults[1:]
 				return next
 			})
-			before := totalRuns(fleet, plainBody)
+			before, known := totalRuns(fleet, plainBody), len(fleet.runners[0].attempts)
 			time.Sleep(storePause)
 			status, _ := keyed(fmt.Sprintf("lost%d", index))
 			convey.So(status, convey.ShouldEqual, 200)
 			convey.So(totalRuns(fleet, plainBody), convey.ShouldEqual, before+1)
+			// A claim that is taken for another's would have its attempt resolved first.
+			convey.So(len(fleet.runners[0].attempts), convey.ShouldEqual, known+1)
 		}
 	})
 }
--- a/lib/requests/model_test.go
+++ b/lib/requests/model_test.go
@@ -72,6 +72,7 @@
 
 	modelCall struct {
 		call    Call
+		begin   time.Duration
 		repeats int
 		texts   [][]string
 		ends    []Outcome
@@ -289,9 +290,9 @@
 	}
 }
 
-// ask sends the call from a random entry at a random time.
+// ask sends the call from a random entry. Repeats of a key cross each other.
 func (model *model) ask(asked *modelCall, repeat int) {
-	time.Sleep(time.Duration(model.number(3000)) * time.Millisecond)
+	time.Sleep(asked.begin + time.Duration(model.number(30))*time.Millisecond)
 	call := asked.call
 	call.Request.Deadline = time.Now().Add(modelDeadline)
 	entry := model.entries[model.number(len(model.entries))]
@@ -340,7 +341,8 @@
 func TestPromisesUnderFaults(t *testing.T) {
 	answered, total := 0, 0
 	rapid.Check(t, func(random *rapid.T) {
-		seed, faults := rapid.Uint64().Draw(random, "seed"), rapid.IntRange(0, 25).Draw(random, "faults")
+		seed, faults := rapid.Uint64().Draw(random, "seed"), rapid.IntRange(-5, 25).Draw(random, "faults")
+		faults = max(0, faults)
 		restarts, dies := rapid.IntRange(0, 2).Draw(random, "restarts"), rapid.Bool().Draw(random, "entry dies")
 		var violations []string
 		synctest.Test(t, func(*testing.T) {
@@ -355,6 +357,9 @@
 					}
 				}
 			}
+			if faults+restarts == 0 && !dies && !allAnswered(calls) {
+				world.violate("a request was not answered although nothing failed")
+			}
 			violations = world.violations
 		})
 		if len(violations) > 0 {
@@ -367,6 +372,17 @@
 	}
 }
 
+func allAnswered(calls []*modelCall) bool {
+	for _, asked := range calls {
+		for _, end := range asked.ends {
+			if _, whole := end.(Answered); !whole {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 func (model *model) play(restarts int, dies bool) []*modelCall {
 	ctx, cancel := context.WithCancel(context.Background())
 	for index := range modelEntries {
@@ -376,6 +392,9 @@
 	for index := range 6 {
 		calls = append(calls, newModelCall(index, false, 1+index/2), newModelCall(100+index, true, 1))
 	}
+	for _, asked := range calls {
+		asked.begin = time.Duration(100+model.number(3000)) * time.Millisecond
+	}
 	var wait sync.WaitGroup
 	for _, asked := range calls {
 		for repeat := range asked.repeats {
