--- a/cmd/bench/fleet/write.go
+++ b/cmd/bench/fleet/write.go
@@ -112,7 +112,7 @@
 		{Name: "platform", Ready: platform, Arguments: []string{
 			plan.binary("fakeplatform"), "--listen", platform, "--token-file", plan.path("platform.token"),
 			"--hosts", plan.path("hosts.json"), "--origin-bytes-per-s", strconv.FormatInt(plan.OriginBytesPerSec, 10),
-			"--membership-lag", "2s",
+			"--membership-lag", "2s", "--state", plan.path("platform"),
 		}},
 		{Name: "network", Ready: network, Arguments: []string{
 			plan.binary("fakenetwork"), "--routes", plan.path("routes.json"), "--admin", network,
@@ -137,7 +137,10 @@
 func (plan Plan) engineProcess(agent agentPlace) Process {
 	address := plan.address(portEngine, agent.number)
 	name := strings.Replace(agent.name, "agent", "engine", 1)
-	arguments := []string{plan.binary("fakeengine"), "--address", address, "--empty"}
+	arguments := []string{plan.binary("fakeengine"), "--address", address}
+	if agent.pool.Type == "engine" {
+		arguments = append(arguments, "--empty")
+	}
 	if agent.number%2 == 0 {
 		// Half of the engines refuse an old fencing token, the others ignore it.
 		arguments = append(arguments, "--refuse-tokens")
