Measure the burst to N hosts over rate-limited loopback

One process for each host runs one transfers.Node; a script starts them, kills and freezes some by id, and a driver measures times, origin copies, control bytes and live latency. stop_all no longer ends early under set -e when a process has ended by itself.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 GO_FILES = $$(git ls-files --cached --others --exclude-standard '*.go' | grep -v '\.pb\.go$$')
 
 
-.PHONY: help build test format format-check lint vet unit race clean
+.PHONY: bench_burst help build test format format-check lint vet unit race clean
 
 help: ## List the jobs
 	@grep -E '^[a-z_-]+:.*##' Makefile | sed 's/:.*##/:/'
@@ -35,5 +35,8 @@
 unit: ## All tests without the race detector
 	@go test work
 
+bench_burst: ## Measure a version's distribution: HOSTS, FAULTS, SEED, W, POLICY, STRATEGIES
+	@HOSTS=$(HOSTS) FAULTS=$(FAULTS) SEED=$(SEED) W=$(W) POLICY=$(POLICY) STRATEGIES="$(STRATEGIES)" scripts/bench_burst.sh
+
 clean: ## Remove everything that the build made
 	@rm -rf $(OUT)
--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -11,6 +11,7 @@
 
 	"github.com/alexflint/go-arg"
 
+	"firford/cmd/bench/burst"
 	"firford/cmd/bench/fleet"
 )
 
@@ -21,6 +22,7 @@
 	}
 
 	arguments struct {
+		Burst *burst.Command `arg:"subcommand:burst" help:"measure how fast a version reaches all hosts"`
 		Fleet *fleet.Command `arg:"subcommand:fleet" help:"write the settings, lists and command lines of a fleet on this machine"`
 	}
 )
--- a/scripts/processes.sh
+++ b/scripts/processes.sh
@@ -16,6 +16,8 @@
 # stop_all ends every process that this script started.
 stop_all() {
   trap - EXIT INT TERM
+  # A process that has ended by itself must not end the loop under set -e.
+  set +e
   local id
   for id in "${PROCESS_IDS[@]}"; do kill -CONT "$id" 2>/dev/null; kill -TERM "$id" 2>/dev/null; done
   for id in "${PROCESS_IDS[@]}"; do
