--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -12,7 +12,10 @@
 	"github.com/alexflint/go-arg"
 
 	"firford/cmd/bench/burst"
+	"firford/cmd/bench/callers"
 	"firford/cmd/bench/fleet"
+	"firford/cmd/bench/operations"
+	"firford/cmd/bench/prepare"
 )
 
 type (
@@ -22,8 +25,11 @@
 	}
 
 	arguments struct {
-		Burst *burst.Command `arg:"subcommand:burst" help:"measure how fast a version reaches all hosts"`
-		Fleet *fleet.Command `arg:"subcommand:fleet" help:"write the settings, lists and command lines of a fleet on this machine"`
+		Burst      *burst.Command      `arg:"subcommand:burst" help:"measure how fast a version reaches all hosts"`
+		Fleet      *fleet.Command      `arg:"subcommand:fleet" help:"write the settings, lists and command lines of a fleet on this machine"`
+		Prepare    *prepare.Command    `arg:"subcommand:prepare" help:"configure a running fleet: models, deployments, organisations"`
+		Operations *operations.Command `arg:"subcommand:operations" help:"let operators race each other, and check that accepted changes stay in force"`
+		Callers    *callers.Command    `arg:"subcommand:callers" help:"keep asking a fleet, verify and record every answer"`
 	}
 )
 
