--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -11,6 +11,7 @@
 
 	"github.com/alexflint/go-arg"
 
+	"firford/cmd/bench/burst"
 	"firford/cmd/bench/callers"
 	"firford/cmd/bench/config"
 	"firford/cmd/bench/demo"
@@ -34,6 +35,7 @@
 		ConfigNode    *config.NodeCommand    `arg:"subcommand:config-node" help:"run one process of the configuration measurement"`
 		ConfigDrive   *config.DriveCommand   `arg:"subcommand:config-drive" help:"measure the configuration changes of running processes"`
 		ConfigSummary *config.SummaryCommand `arg:"subcommand:config-summary" help:"print and save the configuration measurements of several sizes"`
+		Burst         *burst.Command         `arg:"subcommand:burst" help:"measure how fast a version reaches all hosts"`
 	}
 )
 
