Add make soak: a long run with every fault kind and a verdict from outside

The promises have to hold when faults come at any moment, together and twice, in the real programs. Slices on bench's command line now take repeated flags: before, only the last of several values counted, so that callers used one entry.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,6 @@
 # No job is named after a file that it makes.
 .PHONY: help build demo soak bench_burst compare_bursts bench_requests bench_config test format format-check lint vet unit race clean
 
-.PHONY: bench_burst help build test format format-check lint vet unit race clean
 
 help: ## List the jobs
 	@grep -E '^[a-z_-]+:.*##' Makefile | sed 's/:.*##/:/'
@@ -44,6 +43,9 @@
 bench_burst: ## Measure a version's distribution: HOSTS, FAULTS, SEED, W, POLICY, STRATEGIES
 	@HOSTS=$(HOSTS) FAULTS=$(FAULTS) SEED=$(SEED) W=$(W) POLICY=$(POLICY) STRATEGIES="$(STRATEGIES)" scripts/bench_burst.sh
 
+soak: build ## Long run with faults: SECONDS, SEED
+	@SOAK_SECONDS=$(or $(SECONDS),600) SEED=$(or $(SEED),7) scripts/soak.sh
+
 clean: ## Remove everything that the build made
 	@rm -rf $(OUT)
 
--- a/cmd/bench/callers/command.go
+++ b/cmd/bench/callers/command.go
@@ -19,10 +19,10 @@
 type (
 	// Command keeps asking until its time is over or it is interrupted.
 	Command struct {
-		Entries       []string      `arg:"--entries,required" help:"callers' addresses of the entries"`
+		Entries       []string      `arg:"--entries,required,separate" help:"callers' addresses of the entries"`
 		Tokens        string        `arg:"--tokens,required" help:"file with a line for each organisation: its name and token"`
-		Engines       []string      `arg:"--engines" help:"deployments of engines to ask"`
-		Services      []string      `arg:"--services" help:"deployments of plain services to ask"`
+		Engines       []string      `arg:"--engines,separate" help:"deployments of engines to ask"`
+		Services      []string      `arg:"--services,separate" help:"deployments of plain services to ask"`
 		Record        string        `arg:"--record,required" help:"file to which each ended request is appended as a line of JSON"`
 		Length        time.Duration `arg:"--length" default:"60s" help:"how long to go on"`
 		Concurrency   int           `arg:"--concurrency" default:"16" help:"callers that ask at the same time"`
--- a/cmd/bench/fleet/command.go
+++ b/cmd/bench/fleet/command.go
@@ -12,7 +12,7 @@
 	Binaries           string   `arg:"--binaries" default:"out/bin" help:"where the programs are"`
 	BasePort           int      `arg:"--base-port" default:"23000" help:"first port of the fleet; it uses 800"`
 	Entries            int      `arg:"--entries" default:"2" help:"number of entry hosts"`
-	DataCentres        []string `arg:"--data-centres" help:"names of the data centres (default: nairobi mombasa kisumu)"`
+	DataCentres        []string `arg:"--data-centres,separate" help:"names of the data centres (default: nairobi mombasa kisumu)"`
 	HostBytesPerSecond int64    `arg:"--host-bytes-per-s" default:"2097152" help:"rate of each host's link, each way; 0: no limit"`
 	OriginBytesPerS    int64    `arg:"--origin-bytes-per-s" default:"4194304" help:"rate of the origin's link; 0: no limit"`
 	StopOnViolation    bool     `arg:"--stop-on-violation" help:"processes stop when an invariant is violated"`
--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -18,6 +18,7 @@
 	"firford/cmd/bench/fleet"
 	"firford/cmd/bench/operations"
 	"firford/cmd/bench/prepare"
+	"firford/cmd/bench/soak"
 )
 
 type (
@@ -36,6 +37,8 @@
 		ConfigDrive   *config.DriveCommand   `arg:"subcommand:config-drive" help:"measure the configuration changes of running processes"`
 		ConfigSummary *config.SummaryCommand `arg:"subcommand:config-summary" help:"print and save the configuration measurements of several sizes"`
 		Burst         *burst.Command         `arg:"subcommand:burst" help:"measure how fast a version reaches all hosts"`
+		SoakPlan      *soak.PlanCommand      `arg:"subcommand:soak-plan" help:"print the faults of a long run"`
+		SoakJudge     *soak.JudgeCommand     `arg:"subcommand:soak-judge" help:"judge a long run from its records"`
 	}
 )
 
--- a/cmd/bench/operations/race.go
+++ b/cmd/bench/operations/race.go
@@ -32,7 +32,7 @@
 	// checks that accepted changes come into force and stay so.
 	Command struct {
 		Directory string        `arg:"--directory,required" help:"the fleet's directory; the result is written to operations.json there"`
-		Operators []string      `arg:"--operators,required" help:"operator addresses of the entries"`
+		Operators []string      `arg:"--operators,required,separate" help:"operator addresses of the entries"`
 		Length    time.Duration `arg:"--length" default:"60s" help:"how long to go on"`
 		Seed      uint64        `arg:"--seed" default:"1"`
 	}
--- a/cmd/bench/prepare/prepare.go
+++ b/cmd/bench/prepare/prepare.go
@@ -37,7 +37,7 @@
 // Command configures the fleet whose files lie in the directory.
 type Command struct {
 	Directory string   `arg:"--directory,required" help:"the fleet's directory"`
-	Operators []string `arg:"--operators,required" help:"operator addresses of the entries"`
+	Operators []string `arg:"--operators,required,separate" help:"operator addresses of the entries"`
 	Policy    string   `arg:"--policy" default:"less_time" help:"less_time or fewer_origin_bytes"`
 }
 
--- /dev/null
+++ b/cmd/bench/soak/command.go
@@ -0,0 +1,218 @@
+package soak
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"firford/cmd/bench/callers"
+	"firford/cmd/bench/demo"
+	"firford/cmd/bench/operations"
+	"firford/cmd/bench/report"
+)
+
+const shownViolations = 20
+
+type (
+	// PlanCommand prints the schedule of a run.
+	PlanCommand struct {
+		Seed    uint64        `arg:"--seed" default:"7"`
+		Length  time.Duration `arg:"--length" default:"10m"`
+		Entries int           `arg:"--entries" default:"2"`
+		Agents  int           `arg:"--agents" default:"16"`
+	}
+
+	// JudgeCommand prints the verdict on a run from its records.
+	JudgeCommand struct {
+		Directory string        `arg:"--directory,required" help:"the fleet's directory with its records"`
+		Out       string        `arg:"--out" default:"out"`
+		Entries   []string      `arg:"--entries,required,separate" help:"callers' addresses of the entries, in order"`
+		Published []string      `arg:"--published,required,separate" help:"versions that were published"`
+		Seed      uint64        `arg:"--seed"`
+		Length    time.Duration `arg:"--length"`
+	}
+
+	summary struct {
+		Seed       uint64          `json:"seed"`
+		Seconds    float64         `json:"seconds"`
+		Requests   int             `json:"requests"`
+		Outcomes   map[string]int  `json:"outcomes"`
+		Executed   int             `json:"executed"`
+		Accepted   int             `json:"accepted_changes"`
+		Faults     map[Kind]int    `json:"faults"`
+		Violations map[Promise]int `json:"violations"`
+	}
+)
+
+// Run prints one line for each start and end of a fault.
+func (command *PlanCommand) Run(_ context.Context) error {
+	fleet := Fleet{}
+	for number := range command.Entries {
+		fleet.Entries = append(fleet.Entries, fmt.Sprintf("entry-%02d", number+1))
+	}
+	for number := range command.Agents {
+		fleet.Agents = append(fleet.Agents, fmt.Sprintf("agent-%02d", number+1))
+	}
+	_, err := fmt.Print(Lines(Schedule(command.Seed, fleet, command.Length)))
+	return err
+}
+
+// Run prints and saves the verdict, and fails when a promise was broken.
+func (command *JudgeCommand) Run(_ context.Context) error {
+	evidence, operators, err := command.evidence()
+	if err != nil {
+		return err
+	}
+	violations := Judge(evidence)
+	result := command.summarise(evidence, operators, violations)
+	if err := command.report(result, violations).Write(command.Out, os.Stdout); err != nil {
+		return err
+	}
+	if len(violations) > 0 {
+		return fmt.Errorf("%d violations, records in %s", len(violations), command.Directory)
+	}
+	return nil
+}
+
+func (command *JudgeCommand) evidence() (Evidence, operations.Result, error) {
+	evidence := Evidence{Published: command.Published}
+	var operators operations.Result
+	if err := demo.ReadLines(filepath.Join(command.Directory, "callers.jsonl"), &evidence.Asked); err != nil {
+		return evidence, operators, err
+	}
+	for i, asked := range evidence.Asked {
+		for number, address := range command.Entries {
+			if asked.Entry == address {
+				evidence.Asked[i].Entry = fmt.Sprintf("entry-%02d", number+1)
+			}
+		}
+	}
+	if err := command.readJournals(&evidence); err != nil {
+		return evidence, operators, err
+	}
+	encoded, err := os.ReadFile(filepath.Join(command.Directory, "operations.json"))
+	if err != nil {
+		return evidence, operators, fmt.Errorf("read operators' record: %w", err)
+	}
+	if err := json.Unmarshal(encoded, &operators); err != nil {
+		return evidence, operators, fmt.Errorf("operators' record: %w", err)
+	}
+	evidence.Configuration = operators.Violations
+	evidence.Injected, err = readInjected(filepath.Join(command.Directory, "faults.log"))
+	return evidence, operators, err
+}
+
+func (command *JudgeCommand) readJournals(evidence *Evidence) error {
+	journals, err := filepath.Glob(filepath.Join(command.Directory, "engine-*.record"))
+	if err != nil {
+		return err
+	}
+	for _, journal := range journals {
+		var lines []Executed
+		if err := demo.ReadLines(journal, &lines); err != nil {
+			return err
+		}
+		for i := range lines {
+			lines[i].Server = strings.TrimSuffix(filepath.Base(journal), ".record")
+		}
+		evidence.Executed = append(evidence.Executed, lines...)
+	}
+	return nil
+}
+
+// readInjected reads what the script has written of each fault: the time in
+// seconds since 1970, start or end, kind and target.
+func readInjected(path string) ([]Injected, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, fmt.Errorf("read faults: %w", err)
+	}
+	defer func() { _ = file.Close() }()
+	var faults []Injected
+	lines := bufio.NewScanner(file)
+	for number := 1; lines.Scan(); number++ {
+		fields := strings.Fields(lines.Text())
+		if len(fields) != 4 {
+			return nil, fmt.Errorf("%s:%d: %d fields instead of 4", path, number, len(fields))
+		}
+		seconds, err := strconv.ParseFloat(fields[0], 64)
+		if err != nil {
+			return nil, fmt.Errorf("%s:%d: %w", path, number, err)
+		}
+		at := time.UnixMilli(int64(seconds * 1000))
+		faults = withInjected(faults, fields[1], Injected{Kind: Kind(fields[2]), Target: fields[3], Start: at, End: at})
+	}
+	return faults, lines.Err()
+}
+
+func withInjected(faults []Injected, phase string, fault Injected) []Injected {
+	if phase == "start" {
+		return append(faults, fault)
+	}
+	for i := len(faults) - 1; i >= 0; i-- {
+		if faults[i].Kind == fault.Kind && faults[i].Target == fault.Target {
+			faults[i].End = fault.End
+			break
+		}
+	}
+	return faults
+}
+
+func (command *JudgeCommand) summarise(evidence Evidence, operators operations.Result, violations []Violation) summary {
+	result := summary{
+		Seed: command.Seed, Seconds: command.Length.Seconds(), Requests: len(evidence.Asked), Accepted: operators.Accepted,
+		Outcomes: map[string]int{}, Faults: map[Kind]int{}, Violations: map[Promise]int{},
+	}
+	for _, asked := range evidence.Asked {
+		result.Outcomes[asked.Outcome]++
+	}
+	for _, executed := range evidence.Executed {
+		if executed.Kind != kindServed {
+			result.Executed++
+		}
+	}
+	for _, fault := range evidence.Injected {
+		result.Faults[fault.Kind]++
+	}
+	for _, promise := range Promises() {
+		result.Violations[promise] = 0
+	}
+	for _, violation := range violations {
+		result.Violations[violation.Promise]++
+	}
+	return result
+}
+
+func (command *JudgeCommand) report(result summary, violations []Violation) report.Report {
+	printed := report.Report{
+		Name:    "soak",
+		Command: fmt.Sprintf("make soak SECONDS=%d SEED=%d", int(command.Length.Seconds()), command.Seed),
+		Header:  []string{"what", "count"},
+		Summary: result,
+	}
+	add := func(name string, count int) {
+		printed.Rows = append(printed.Rows, []string{name, strconv.Itoa(count)})
+	}
+	add("requests", result.Requests)
+	for _, outcome := range []string{callers.OutcomeAnswered, callers.OutcomeNotRun, callers.OutcomeUnknown, callers.OutcomeLost} {
+		add("requests "+outcome, result.Outcomes[outcome])
+	}
+	add("executions on backend servers", result.Executed)
+	add("accepted configuration changes", result.Accepted)
+	for _, kind := range Kinds() {
+		add("fault "+string(kind), result.Faults[kind])
+	}
+	for _, promise := range Promises() {
+		add("violations of "+string(promise), result.Violations[promise])
+	}
+	for _, violation := range violations[:min(len(violations), shownViolations)] {
+		printed.Notes = append(printed.Notes, fmt.Sprintf("%s: %s", violation.Promise, violation.Evidence))
+	}
+	return printed
+}
--- a/cmd/bench/soak/schedule.go
+++ b/cmd/bench/soak/schedule.go
@@ -30,7 +30,8 @@
 	StoreSlow       Kind = "store_slow"
 	StoreLost       Kind = "store_lost_answers"
 	OriginOutage    Kind = "origin_outage"
-	EngineCorrupt   Kind = "engine_corrupt"
+	CorruptChunks   Kind = "corrupt_chunks"
+	EngineSilent    Kind = "engine_silent"
 	EngineFailLoad  Kind = "engine_fail_load"
 	NewVersion      Kind = "new_version"
 	RacingOperators Kind = "racing_operators"
@@ -73,7 +74,7 @@
 	return []Kind{
 		KillEntry, KillAgent, KillEngine, FreezeEntry, FreezeAgent, FreezeEngine, TerminateEntry, TerminateAgent,
 		LeaveAgent, SilentLink, StallLink, CutLink, StallChunks, StoreOutage, StoreSlow, StoreLost, OriginOutage,
-		EngineCorrupt, EngineFailLoad, NewVersion, RacingOperators,
+		CorruptChunks, EngineSilent, EngineFailLoad, NewVersion, RacingOperators,
 	}
 }
 
@@ -108,7 +109,7 @@
 	hold := shortestHold + time.Duration(random.Int64N(int64(longestHold-shortestHold)))
 	event := Event{Kind: kind, Start: start, End: start + hold, Target: target(random, kind, fleet)}
 	switch kind {
-	case NewVersion, RacingOperators, EngineFailLoad, EngineCorrupt, SilentLink:
+	case NewVersion, RacingOperators, EngineSilent, SilentLink:
 		event.End = event.Start
 	}
 	return event
@@ -119,9 +120,9 @@
 	switch kind {
 	case KillEntry, FreezeEntry, TerminateEntry:
 		return fleet.Entries[random.IntN(len(fleet.Entries))]
-	case KillEngine, FreezeEngine, EngineCorrupt, EngineFailLoad:
+	case KillEngine, FreezeEngine, EngineSilent, EngineFailLoad:
 		return serverOf(agent)
-	case StallChunks:
+	case StallChunks, CorruptChunks:
 		return agent + "-chunks"
 	case KillAgent, FreezeAgent, TerminateAgent, LeaveAgent, SilentLink, StallLink, CutLink:
 		return agent
--- a/cmd/fakenetwork/relay/relay.go
+++ b/cmd/fakenetwork/relay/relay.go
@@ -11,6 +11,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"time"
@@ -25,6 +26,8 @@
 	FaultSilent = "silent"
 	// FaultCut closes the open connections and refuses new ones.
 	FaultCut = "cut"
+	// FaultCorrupt changes one byte in a part of the buffers that it forwards.
+	FaultCorrupt = "corrupt"
 	// FaultStall forwards nothing on any connection until the fault is cleared.
 	FaultStall = "stall"
 )
@@ -33,6 +36,8 @@
 	bufferBytes = 64 << 10
 	dialTimeout = time.Second
 	stallPoll   = 20 * time.Millisecond
+	// A corrupt route damages this share of the buffers that it forwards.
+	corruptShare = 0.05
 )
 
 type (
@@ -96,9 +101,9 @@
 		return fmt.Errorf("unknown route %q", name)
 	}
 	switch fault {
-	case FaultNone, FaultSilent, FaultCut, FaultStall:
+	case FaultNone, FaultSilent, FaultCut, FaultStall, FaultCorrupt:
 	default:
-		return fmt.Errorf("unknown fault %q, allowed: %s, %s, %s, %s", fault, FaultNone, FaultSilent, FaultCut, FaultStall)
+		return fmt.Errorf("unknown fault %q, allowed: %s, %s, %s, %s, %s", fault, FaultNone, FaultSilent, FaultCut, FaultStall, FaultCorrupt)
 	}
 	route.set(fault)
 	return nil
@@ -175,6 +180,9 @@
 		for route.current() == FaultStall {
 			time.Sleep(stallPoll)
 		}
+		if count > 0 && route.current() == FaultCorrupt && rand.Float64() < corruptShare {
+			buffer[count-1] ^= 0xff
+		}
 		if count > 0 && !joined.isSilent() {
 			if _, failed := to.Write(buffer[:count]); failed != nil {
 				err = failed
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -63,12 +63,42 @@
   FLEET_SUPERVISOR=$!
 }
 
-# fleet_unsupervise ends the supervision and takes over the ids of its processes.
+# fleet_unsupervise ends the supervision.
 fleet_unsupervise() {
   [ -n "${FLEET_SUPERVISOR:-}" ] || return 0
   kill -TERM "$FLEET_SUPERVISOR" 2>/dev/null
   wait "$FLEET_SUPERVISOR" 2>/dev/null
   FLEET_SUPERVISOR=
-  local file
-  for file in "$RUN"/*.pid; do PROCESS_IDS+=("$(cat "$file")"); done
+}
+
+# fleet_adopt takes over the ids of processes that subshells have started. An
+# id counts only while it belongs to a process of this fleet, whose command line
+# names the fleet's folder.
+fleet_adopt() {
+  local file id
+  for file in "$RUN"/*.pid; do
+    id=$(cat "$file")
+    grep -qs "$RUN" "/proc/$id/cmdline" && PROCESS_IDS+=("$id")
+  done
+  return 0
+}
+
+# fleet_end SIGNAL NAME signals a process that fleet_restart will start again.
+fleet_end() {
+  cp "$RUN/$2.pid" "$RUN/$2.ended"
+  fleet_signal "$1" "$2"
+}
+
+# fleet_restart NAME starts the process that fleet_end has ended, unless another
+# fault has done so. Requests in progress get ten seconds to finish.
+fleet_restart() {
+  local id _
+  id=$(cat "$RUN/$1.ended")
+  [ "$id" = "$(cat "$RUN/$1.pid")" ] || return 0
+  for _ in $(seq 100); do
+    kill -0 "$id" 2>/dev/null || break
+    sleep 0.1
+  done
+  kill -KILL "$id" 2>/dev/null
+  fleet_start "$1"
 }
--- a/scripts/processes.sh
+++ b/scripts/processes.sh
@@ -16,7 +16,7 @@
 # stop_all ends every process that this script started.
 stop_all() {
   trap - EXIT INT TERM
-  if declare -F fleet_unsupervise >/dev/null; then fleet_unsupervise; fi
+  if declare -F fleet_adopt >/dev/null; then fleet_unsupervise; fleet_adopt; fi
   # A process that has ended by itself must not end the loop under set -e.
   set +e
   local id
