Widen the margin that a flood leaves free

A run of two minutes showed 1.65 times the p95 with one standard deviation, above the promise of 1.5; with one and a half it is 1.15 in the same run (go test -run TestFlood firford/lib/admissions).

--- a/lib/admissions/flows.go
+++ b/lib/admissions/flows.go
@@ -22,9 +22,9 @@
 	floodFactor  = 2.0
 	// usageDeviations is how many standard deviations of the others' use stay free.
 	// The use of a load that arrives at random has the square root of its mean as
-	// its standard deviation. With 0.5 a flood of requests of 18 s slowed the others
-	// down 1.74 times; 1.5 left more slots unused without a gain that is needed.
-	usageDeviations = 1.0
+	// its standard deviation. Over two minutes of a flood of requests of 18 s, 1.0
+	// slowed the others' p95 down 1.65 times, which is more than the promised 1.5.
+	usageDeviations = 1.5
 	// usageLeast is the average use below which an organisation counts as absent.
 	usageLeast = 1e-3
 )
