--- a/lib/configurations/machine_test.go
+++ b/lib/configurations/machine_test.go
@@ -56,6 +56,7 @@
 		problems []string
 		requests int
 		accepted map[string]int64
+		all      []hosts.Host
 		// chain connects each node to the ones before and after it only.
 		chain bool
 	}
@@ -89,14 +90,19 @@
 	return drawn
 }
 
-func newSimulation(seed uint64) *simulation { return newSimulationOf(seed, false) }
+func newSimulation(seed uint64) *simulation {
+	return newSimulationOf(seed, simulatedNodes, false)
+}
 
-func newSimulationOf(seed uint64, chain bool) *simulation {
+func newSimulationOf(seed uint64, nodes int, chain bool) *simulation {
 	world := &simulation{
 		table: newFakeTable(seed), network: newFakeNetwork(), seed: seed, chain: chain,
 		cancels: map[string]context.CancelFunc{}, accepted: map[string]int64{},
 	}
-	for i := range simulatedNodes {
+	for i := range nodes {
+		world.all = append(world.all, hosts.Host{Name: hostName(i), Address: hostName(i)})
+	}
+	for i := range nodes {
 		world.start(i)
 	}
 	return world
@@ -108,14 +114,6 @@
 	world.problems = append(world.problems, fmt.Sprintf(format, values...))
 }
 
-func members() []hosts.Host {
-	var all []hosts.Host
-	for i := range simulatedNodes {
-		all = append(all, hosts.Host{Name: hostName(i), Address: hostName(i)})
-	}
-	return all
-}
-
 // start runs a node without any configuration, in place of one that runs.
 func (world *simulation) start(index int) {
 	name := hostName(index)
@@ -124,7 +122,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	node := NewNode(Dependencies{
-		Self: name, Hosts: members, Logger: zap.NewNop(), Scope: tally.NoopScope,
+		Self: name, Hosts: func() []hosts.Host { return world.all }, Logger: zap.NewNop(), Scope: tally.NoopScope,
 		Table: tableOf{world.table, func(ctx context.Context) { world.network.wait(ctx, name) }},
 		Checker: invariants.NewForTest(func(invariant invariants.Name) {
 			world.problem("%s violated on %s", invariant, name)
@@ -150,7 +148,7 @@
 // stop ends all nodes and lets their last calls run into their deadlines,
 // because fake time stands still after the test.
 func (world *simulation) stop() {
-	for i := range simulatedNodes {
+	for i := range world.all {
 		world.network.resume(hostName(i))
 		world.cancels[hostName(i)]()
 	}
@@ -164,7 +162,7 @@
 		world.network.resume(hostName(index))
 		world.start(index)
 	}
-	for i := range simulatedNodes {
+	for i := range world.all {
 		world.network.resume(hostName(i))
 	}
 	for _, index := range drawn.paused {
@@ -268,7 +266,7 @@
 func (world *simulation) reachable(from string) map[string]bool {
 	reached := map[string]bool{from: true}
 	for queue := []string{from}; len(queue) > 0; queue = queue[1:] {
-		for _, near := range hosts.Neighbours(queue[0], members(), neighbourCount) {
+		for _, near := range hosts.Neighbours(queue[0], world.all, neighbourCount) {
 			if !reached[near.Name] && world.network.connected(queue[0], near.Name) && !world.network.isPaused(near.Name) {
 				reached[near.Name] = true
 				queue = append(queue, near.Name)
@@ -302,7 +300,7 @@
 			world.problem("%s was accepted as revision %d, the log has it as %d", id, revision, seen[id])
 		}
 	}
-	for i := range simulatedNodes {
+	for i := range world.all {
 		snapshot := world.network.node(hostName(i)).Current()
 		if string(mustEncode(snapshot.Entries())) != string(mustEncode(log.Entries())) || snapshot.Revision != log.Revision {
 			world.problem("%s has revision %d with other objects than the log at revision %d", hostName(i), snapshot.Revision, log.Revision)
@@ -340,7 +338,7 @@
 // revisions returns the revision in force on each node.
 func (world *simulation) revisions() []int64 {
 	var all []int64
-	for i := range simulatedNodes {
+	for i := range world.all {
 		all = append(all, world.network.node(hostName(i)).Current().Revision)
 	}
 	return all
@@ -349,7 +347,7 @@
 func (world *simulation) cutOff(index int) {
 	world.network.mutex.Lock()
 	defer world.network.mutex.Unlock()
-	for i := range simulatedNodes {
+	for i := range world.all {
 		world.network.cuts[pair(hostName(i), hostName(index))] = true
 	}
 }
@@ -391,7 +389,7 @@
 	} {
 		t.Run(example.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				world := newSimulationOf(1, example.chain)
+				world := newSimulationOf(1, simulatedNodes, example.chain)
 				time.Sleep(100 * time.Millisecond)
 				example.play(world)
 				if all := world.revisions(); slices.Min(all) != 1 {
@@ -429,3 +427,40 @@
 		world.stop()
 	})
 }
+
+// Guards against a way of propagation that is fast enough only in a small fleet
+// or that takes more reads of the store than its share. Prints the figures.
+func TestFullSize(t *testing.T) {
+	if testing.Short() {
+		t.Skip("1,290 nodes take some seconds")
+	}
+	synctest.Test(t, func(t *testing.T) {
+		world := newSimulationOf(1, 1290, false)
+		time.Sleep(20 * time.Second)
+		before, start := world.reads(), time.Now()
+		for round := range 5 {
+			result := world.change(round, world.request(round, step{}))
+			for slices.Min(world.revisions()) < result.change.Revision && time.Since(result.at) < time.Minute {
+				time.Sleep(10 * time.Millisecond)
+			}
+			if span := time.Since(result.at); span > inForceBound {
+				t.Errorf("revision %d is in force everywhere after %v", result.change.Revision, span)
+			} else {
+				t.Logf("revision %d is in force everywhere after %v", result.change.Revision, span)
+			}
+			time.Sleep(inForceBound)
+		}
+		rate := float64(world.reads()-before) / time.Since(start).Seconds()
+		t.Logf("%.0f reads/s of the store", rate)
+		if rate > 1.2*sharedPollRate {
+			t.Errorf("%.0f reads/s of the store, the share is %d", rate, sharedPollRate)
+		}
+		world.stop()
+	})
+}
+
+func (world *simulation) reads() int {
+	world.table.mutex.Lock()
+	defer world.table.mutex.Unlock()
+	return world.table.reads
+}
--- a/lib/configurations/store.go
+++ b/lib/configurations/store.go
@@ -15,10 +15,11 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"math/rand/v2"
 	"strconv"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
+
 	"firford/lib/platform"
 )
 
@@ -187,7 +188,7 @@
 // platform.ErrUnavailable when nothing was written, and with
 // platform.ErrOutcomeUnknown when a lost answer could not be resolved.
 func (store store) commit(ctx context.Context, request Request) (Change, error) {
-	pause, unknown := commitPause, false
+	pauses, unknown := newPauses(), false
 	for range commitAttempts {
 		change, err := store.attempt(ctx, request)
 		lost := errors.Is(err, platform.ErrOutcomeUnknown)
@@ -200,9 +201,8 @@
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(pause/2 + rand.N(pause)):
+		case <-time.After(pauses.NextBackOff()):
 		}
-		pause = min(pause*2, maxCommitPause)
 		if ctx.Err() != nil {
 			break
 		}
@@ -213,6 +213,14 @@
 	return Change{}, ErrBusy
 }
 
+// newPauses returns the jittered pauses between attempts, so that entries that
+// raced each other do not race again in step.
+func newPauses() *backoff.ExponentialBackOff {
+	pauses := backoff.NewExponentialBackOff()
+	pauses.InitialInterval, pauses.MaxInterval = commitPause, maxCommitPause
+	return pauses
+}
+
 // attempt runs one transaction. The revision row is read before the request
 // row: if the request row is absent then, an earlier attempt whose answer was
 // lost is not part of the revision that the change is checked against.
