Keep 20,000 changes in the log

Log and request rows grew without bound. Each change now deletes the rows of the one that expires, in the same transaction.

--- a/lib/configurations/node.go
+++ b/lib/configurations/node.go
@@ -103,7 +103,7 @@
 		behind:       make(chan struct{}, 1),
 		publish:      make(chan struct{}, 1),
 	}
-	node.store = store{table: dependencies.Table, upTo: node.upTo}
+	node.store = store{table: dependencies.Table, kept: keptChanges, upTo: node.upTo}
 	scope := dependencies.Scope.SubScope("configuration")
 	node.metrics = nodeMetrics{
 		revision: scope.Gauge("revision"),
--- a/lib/configurations/store.go
+++ b/lib/configurations/store.go
@@ -33,6 +33,9 @@
 	// loadAttempts bounds how often a load starts again because a change arrived
 	// while it read.
 	loadAttempts = 5
+	// keptChanges is how many changes the log keeps, 26 days at 750 a day. A request
+	// id is recognised as long as its change is kept.
+	keptChanges = 20_000
 	// longGap is the number of log rows above which loading the whole
 	// configuration costs fewer reads.
 	longGap = 32
@@ -76,6 +79,7 @@
 	// configuration at exactly the revision, or errRaced if a newer one is known.
 	store struct {
 		table platform.Table
+		kept  int64
 		upTo  func(ctx context.Context, revision int64) (Snapshot, error)
 	}
 )
@@ -293,16 +297,37 @@
 	if request.Object != nil {
 		object = platform.Write{Key: key, Value: mustEncode(Entry{Object: request.Object, Revision: change.Revision})}
 	}
+	expired, err := store.expired(ctx, change.Revision)
+	if err != nil {
+		return Change{}, err
+	}
 	number := mustEncode(revisionRecord{Revision: change.Revision})
-	_, err = store.table.Transact(ctx, conditions, []platform.Write{
-		{Key: revisionKey, Value: number},
+	_, err = store.table.Transact(ctx, conditions, append(expired,
+		platform.Write{Key: revisionKey, Value: number},
 		object,
-		{Key: logRow(change.Revision), Value: mustEncode(change)},
-		{Key: requestRow(request.ID), Value: number},
-	})
+		platform.Write{Key: logRow(change.Revision), Value: mustEncode(change)},
+		platform.Write{Key: requestRow(request.ID), Value: number},
+	))
 	var conflict *platform.ConflictError
 	if errors.As(err, &conflict) {
 		return Change{}, errRaced
 	}
 	return change, err
 }
+
+// expired returns the deletions that keep the log bounded: each change removes
+// the rows of the one that is no longer kept.
+func (store store) expired(ctx context.Context, revision int64) ([]platform.Write, error) {
+	if revision <= store.kept {
+		return nil, nil
+	}
+	var old Change
+	row, err := store.read(ctx, logRow(revision-store.kept), &old)
+	if err != nil || row.Revision == 0 {
+		return nil, err
+	}
+	return []platform.Write{
+		{Key: logRow(old.Revision), Delete: true},
+		{Key: requestRow(old.RequestID), Delete: true},
+	}, nil
+}
