--- a/cmd/bench/config/command.go
+++ b/cmd/bench/config/command.go
@@ -176,7 +176,7 @@
 	var spans []time.Duration
 	for _, each := range driver.members {
 		var answer appliedResult
-		if err := each.link.Call(ctx, methodApplied, appliedParams{}, &answer); err != nil {
+		if err := each.call(ctx, methodApplied, appliedParams{}, &answer); err != nil {
 			return fmt.Errorf("ask %s: %w", each.host.Name, err)
 		}
 		for i := 1; i < len(answer.Applied); i++ {
--- a/cmd/bench/config/drive.go
+++ b/cmd/bench/config/drive.go
@@ -43,11 +43,12 @@
 type (
 	// member is one process of the measurement.
 	member struct {
-		host hosts.Host
-		id   int
-		link *links.Link
+		host    hosts.Host
+		id      int
+		options links.Options
 
 		mutex  sync.Mutex
+		link   *links.Link
 		pauses []pause
 	}
 
@@ -93,11 +94,33 @@
 		if err != nil {
 			return nil, err
 		}
-		members = append(members, &member{host: host, id: int(number(strings.TrimSpace(string(written)))), link: link})
+		id := int(number(strings.TrimSpace(string(written))))
+		members = append(members, &member{host: host, id: id, options: options, link: link})
 	}
 	return members, nil
 }
 
+// call opens a new link if the last one has ended, as it does while the process
+// is paused.
+func (target *member) call(ctx context.Context, method string, params, result any) error {
+	target.mutex.Lock()
+	link := target.link
+	target.mutex.Unlock()
+	select {
+	case <-link.Done():
+		opened, err := links.Dial(ctx, target.host.Address, target.options)
+		if err != nil {
+			return err
+		}
+		target.mutex.Lock()
+		target.link = opened
+		target.mutex.Unlock()
+		link = opened
+	default:
+	}
+	return link.Call(ctx, method, params, result)
+}
+
 func dial(ctx context.Context, address string, options links.Options) (*links.Link, error) {
 	for {
 		link, err := links.Dial(ctx, address, options)
@@ -167,7 +190,7 @@
 		running.Go(func() {
 			defer func() { <-free }()
 			var result changeResult
-			err := at.link.Call(ctx, methodChange, params, &result)
+			err := at.call(ctx, methodChange, params, &result)
 			mutex.Lock()
 			defer mutex.Unlock()
 			if err != nil {
@@ -203,14 +226,14 @@
 }
 
 func (target *member) pause() {
-	target.mutex.Lock()
-	defer target.mutex.Unlock()
 	from := time.Now()
 	if syscall.Kill(target.id, syscall.SIGSTOP) != nil {
 		return
 	}
 	time.Sleep(pauseTime)
 	_ = syscall.Kill(target.id, syscall.SIGCONT)
+	target.mutex.Lock()
+	defer target.mutex.Unlock()
 	target.pauses = append(target.pauses, pause{from: from, to: time.Now()})
 }
 
