Measure the selection of backend servers and the cost of the path

The choice of a policy rested on no measurement. bench selection runs the entries' and agents' code in one process against simulated engines and prints time to first token, refusals and spread by policy, age of the stated load and number of entries, and the goodput above capacity; bench overhead compares one entry and one agent with calling the backend server; make bench_requests runs both. docs/operators/routing.md says what operators set and callers see.

TestWhichAgentsGetWork covers leaving, draining and restarted agents.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 GO_FILES = $$(git ls-files --cached --others --exclude-standard '*.go' | grep -v '\.pb\.go$$')
 
 
-.PHONY: help build demo test format format-check lint vet unit race clean
+.PHONY: help build demo bench_requests test format format-check lint vet unit race clean
 
 help: ## List the jobs
 	@grep -E '^[a-z_-]+:.*##' Makefile | sed 's/:.*##/:/'
@@ -40,5 +40,8 @@
 demo: build ## Push a version to a small fleet on stand-ins while callers keep asking
 	@scripts/demo.sh
 
+bench_requests: build ## Measure the request path: policies, goodput, added latency, requests per second
+	@scripts/bench_requests.sh
+
 clean: ## Remove everything that the build made
 	@rm -rf $(OUT)
--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -15,7 +15,9 @@
 	"firford/cmd/bench/demo"
 	"firford/cmd/bench/fleet"
 	"firford/cmd/bench/operations"
+	"firford/cmd/bench/overhead"
 	"firford/cmd/bench/prepare"
+	"firford/cmd/bench/selection"
 )
 
 type (
@@ -29,6 +31,8 @@
 		Prepare    *prepare.Command    `arg:"subcommand:prepare" help:"configure a running fleet: models, deployments, organisations"`
 		Operations *operations.Command `arg:"subcommand:operations" help:"let operators race each other, and check that accepted changes stay in force"`
 		Callers    *callers.Command    `arg:"subcommand:callers" help:"keep asking a fleet, verify and record every answer"`
+		Selection  *selection.Command  `arg:"subcommand:selection" help:"compare the policies that choose a backend server, and the goodput under overload"`
+		Overhead   *overhead.Command   `arg:"subcommand:overhead" help:"compare the path through an entry and an agent with calling the backend server"`
 		Demo       *demo.Command       `arg:"subcommand:demo" help:"print the table of a demonstration from its records"`
 	}
 )
--- a/lib/requests/agents.go
+++ b/lib/requests/agents.go
@@ -325,11 +325,11 @@
 	return peer, peer.Close, nil
 }
 
-// serving reports whether any agent of the deployment takes requests.
-func (agents *Agents) serving(deployment string) bool {
+// Serving returns the number of agents that may get requests of the deployment.
+func (agents *Agents) Serving(deployment string) int {
 	agents.mutex.Lock()
 	defer agents.mutex.Unlock()
-	return len(agents.candidates(deployment, "", nil, time.Now())) > 0
+	return len(agents.candidates(deployment, "", nil, time.Now()))
 }
 
 // chance is the process's random source, which is safe for concurrent use.
