Queue the parts of an answer only while some are waiting

The agent's end made a channel for 1024 parts for each request, which was half of the memory that a request allocates, and a goroutine also for answers that are not streamed. The bound stays; the queue grows with what waits.

--- a/lib/requests/front_test.go
+++ b/lib/requests/front_test.go
@@ -18,6 +18,7 @@
 	"github.com/sebdah/goldie/v2"
 	"github.com/smartystreets/goconvey/convey"
 	"github.com/uber-go/tally/v4"
+	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
 	"firford/lib/backends"
@@ -45,7 +46,7 @@
 	mutex   sync.Mutex
 }
 
-func listen(t *testing.T) net.Listener {
+func listen(t testing.TB) net.Listener {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -54,7 +55,7 @@
 	return listener
 }
 
-func startFleet(t *testing.T, count int) *testFleet {
+func startFleet(t testing.TB, count int) *testFleet {
 	t.Helper()
 	fleet := &testFleet{table: newFakeTable(), links: make([][]*links.Link, count), ended: make(chan error, 1)}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -103,7 +104,7 @@
 	return fleet.agents.views[name].state.State
 }
 
-func (fleet *testFleet) startAgent(ctx context.Context, t *testing.T, index int) hosts.Host {
+func (fleet *testFleet) startAgent(ctx context.Context, t testing.TB, index int) hosts.Host {
 	t.Helper()
 	runner := newFakeRunner()
 	fleet.runners = append(fleet.runners, runner)
@@ -239,3 +240,28 @@
 		convey.So(len(index.at(configurations.NewSnapshot(8, nil)).byHash), convey.ShouldEqual, 0)
 	})
 }
+
+// BenchmarkRequest reports the allocations of the entry, the link and the
+// agent's end of the messages for one request; the HTTP connection and the
+// backend server are not in it.
+func BenchmarkRequest(b *testing.B) {
+	for name, body := range map[string]string{"plain": plainBody, "streamed": streamBody} {
+		b.Run(name, func(b *testing.B) {
+			fleet := startFleet(b, 1)
+			ctx := &fasthttp.RequestCtx{}
+			b.ReportAllocs()
+			for b.Loop() {
+				ctx.Request.Reset()
+				ctx.Response.Reset()
+				ctx.Request.Header.SetMethod(fasthttp.MethodPost)
+				ctx.Request.SetRequestURI("/v1/deployments/plant/requests")
+				ctx.Request.Header.Set("Authorization", "Bearer "+testToken)
+				ctx.Request.SetBodyString(body)
+				fleet.front.handle(ctx)
+				if len(ctx.Response.Body()) == 0 || ctx.Response.StatusCode() != fasthttp.StatusOK {
+					b.Fatalf("status %d", ctx.Response.StatusCode())
+				}
+			}
+		})
+	}
+}
--- a/lib/requests/wire.go
+++ b/lib/requests/wire.go
@@ -119,8 +119,12 @@
 	// outbox sends the parts of one attempt in order without making the engine's
 	// reader wait for the connection.
 	outbox struct {
-		parts chan Part
-		sent  sync.WaitGroup
+		peer Peer
+		sent sync.WaitGroup
+
+		mutex   sync.Mutex
+		waiting []Part
+		sending bool
 	}
 )
 
@@ -170,30 +174,50 @@
 // sendParts runs the attempt and returns after its last part has been sent, so
 // that the outcome follows the parts on the connection.
 func sendParts(peer Peer, run func(deliver func(Part)) Outcome) Outcome {
-	box := &outbox{parts: make(chan Part, maxWaitingParts)}
-	box.sent.Go(func() { box.send(peer) })
+	box := &outbox{peer: peer}
 	outcome := run(box.put)
-	close(box.parts)
 	box.sent.Wait()
 	return outcome
 }
 
+// put queues a part. A goroutine sends while parts are waiting, so that an
+// answer without parts needs neither a queue nor a goroutine.
 func (box *outbox) put(part Part) {
-	select {
-	case box.parts <- part:
-	default:
+	box.mutex.Lock()
+	defer box.mutex.Unlock()
+	if len(box.waiting) == maxWaitingParts {
+		return
+	}
+	box.waiting = append(box.waiting, part)
+	if !box.sending {
+		box.sending = true
+		box.sent.Go(box.send)
 	}
 }
 
-func (box *outbox) send(peer Peer) {
-	broken := false
-	for part := range box.parts {
-		if !broken {
-			broken = peer.Notify(methodPart, partParams{AttemptID: part.AttemptID, Part: part.Number, Text: part.Text}) != nil
+func (box *outbox) send() {
+	for {
+		parts := box.take()
+		if len(parts) == 0 {
+			return
+		}
+		for _, part := range parts {
+			// The link's end shows in the call that waits for the outcome.
+			_ = box.peer.Notify(methodPart, partParams{AttemptID: part.AttemptID, Part: part.Number, Text: part.Text})
 		}
 	}
 }
 
+// take empties the queue; an empty one ends the sending goroutine.
+func (box *outbox) take() []Part {
+	box.mutex.Lock()
+	defer box.mutex.Unlock()
+	parts := box.waiting
+	box.waiting = nil
+	box.sending = len(parts) > 0
+	return parts
+}
+
 func newRunParams(request Request, now time.Time) runParams {
 	return runParams{
 		AttemptID:    request.AttemptID,
