--- a/Makefile
+++ b/Makefile
@@ -9,6 +9,7 @@
 # No job is named after a file that it makes.
 .PHONY: help build demo soak bench_burst compare_bursts bench_requests bench_config test format format-check lint vet unit race clean
 
+.PHONY: help build demo bench_requests test format format-check lint vet unit race clean
 
 help: ## List the jobs
 	@grep -E '^[a-z_-]+:.*##' Makefile | sed 's/:.*##/:/'
@@ -46,6 +47,9 @@
 soak: build ## Long run with faults: SECONDS, SEED
 	@SOAK_SECONDS=$(or $(SECONDS),600) SEED=$(or $(SEED),7) scripts/soak.sh
 
+bench_requests: build ## Measure the request path: policies, goodput, added latency, requests per second
+	@scripts/bench_requests.sh
+
 clean: ## Remove everything that the build made
 	@rm -rf $(OUT)
 
--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -17,7 +17,9 @@
 	"firford/cmd/bench/demo"
 	"firford/cmd/bench/fleet"
 	"firford/cmd/bench/operations"
+	"firford/cmd/bench/overhead"
 	"firford/cmd/bench/prepare"
+	"firford/cmd/bench/selection"
 	"firford/cmd/bench/soak"
 )
 
@@ -39,6 +41,8 @@
 		Burst         *burst.Command         `arg:"subcommand:burst" help:"measure how fast a version reaches all hosts"`
 		SoakPlan      *soak.PlanCommand      `arg:"subcommand:soak-plan" help:"print the faults of a long run"`
 		SoakJudge     *soak.JudgeCommand     `arg:"subcommand:soak-judge" help:"judge a long run from its records"`
+		Selection     *selection.Command     `arg:"subcommand:selection" help:"compare the policies that choose a backend server, and the goodput under overload"`
+		Overhead      *overhead.Command      `arg:"subcommand:overhead" help:"compare the path through an entry and an agent with calling the backend server"`
 	}
 )
 
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -6,7 +6,7 @@
 set -uo pipefail
 cd "$(dirname "$0")/.."
 
-BIN=out/bin
+BIN=${BIN:-out/bin}
 RUN=$(mktemp -d "${TMPDIR:-/tmp}/firford-demo.XXXXXX")
 BASE_PORT=${BASE_PORT:-23000}
 BEFORE_S=${BEFORE_S:-8}
@@ -36,7 +36,7 @@
 }
 
 echo "starting two entries, 16 backend servers with their agents, platform and network"
-"$BIN/bench" fleet --directory "$RUN" --base-port "$BASE_PORT" --record-files || exit 1
+"$BIN/bench" fleet --directory "$RUN" --binaries "$BIN" --base-port "$BASE_PORT" --record-files || exit 1
 fleet_start_all || exit 1
 fleet_supervise
 "$BIN/bench" prepare --directory "$RUN" --operators "$(address 100)" --operators "$(address 101)" || exit 1
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -6,7 +6,7 @@
 
 SECONDS_LONG=${SOAK_SECONDS:-600}
 SEED=${SEED:-7}
-BIN=out/bin
+BIN=${BIN:-out/bin}
 OUT=${OUT:-out}
 BASE_PORT=${BASE_PORT:-24000}
 CONCURRENCY=${CONCURRENCY:-16}
@@ -101,7 +101,7 @@
   esac
 }
 
-"$BIN/bench" fleet --directory "$RUN" --base-port "$BASE_PORT" --entries $ENTRIES --record-files --stop-on-violation || exit 1
+"$BIN/bench" fleet --directory "$RUN" --binaries "$BIN" --base-port "$BASE_PORT" --entries $ENTRIES --record-files --stop-on-violation || exit 1
 fleet_start_all || exit 1
 # shellcheck disable=SC2086 # The options are separate words.
 "$BIN/bench" prepare --directory "$RUN" $OPERATORS || exit 1
