--- a/lib/rollouts/control.go
+++ b/lib/rollouts/control.go
@@ -17,6 +17,9 @@
 // All agents of a deployment together read the board at most this often.
 const boardReadsPerSecond = 200
 
+// errStaleStatus tells that a status was read before a pause of the process.
+var errStaleStatus = errors.New("the engine's status is older than the pause limit")
+
 // requestID is the same for repeats of a change by one host.
 func requestID(host string, object configurations.Object, revision int64) string {
 	text := fmt.Sprintf("%s|%d|%s|%+v", host, revision, object.Kind(), object)
@@ -345,10 +348,16 @@
 	loader.mutex.Lock()
 	epoch := loader.epoch
 	loader.mutex.Unlock()
+	began := time.Now()
 	status, err := loader.engineStatus(ctx)
 	if ctx.Err() != nil {
 		return
 	}
+	if time.Since(began) > loader.dependencies.Settings.PauseLimit {
+		// The process was paused in between, so the answer says nothing of now.
+		nudge(loader.readNow)
+		err = errStaleStatus
+	}
 	plan := loader.plan()
 	loader.mutex.Lock()
 	defer loader.mutex.Unlock()
--- a/lib/rollouts/fence.go
+++ b/lib/rollouts/fence.go
@@ -88,23 +88,17 @@
 	return row, record, nil
 }
 
-// take acquires a token above every earlier one. A transaction whose answer was
-// lost is found by its incarnation when take is called again.
+// take acquires a token above every earlier one. After a transaction whose
+// answer was lost it is called again and takes one more; tokens may have gaps.
 func (fence *fence) take(ctx context.Context) error {
 	began := time.Now()
 	row, record, err := fence.read(ctx)
 	if err != nil {
 		return err
 	}
-	own := record.Incarnation == fence.incarnation
-	held := fence.held()
-	if held != 0 && !own {
+	if fence.held() != 0 && record.Incarnation != fence.incarnation {
 		return ErrFenced
 	}
-	if own && record.Token > held {
-		fence.adopt(record.Token, row.Revision, began)
-		return nil
-	}
 	next := fenceRecord{Token: record.Token + fence.step, Incarnation: fence.incarnation}
 	ctx, cancel := context.WithTimeout(ctx, fence.dependencies.Settings.StoreTimeout)
 	defer cancel()
