Report the burn of service-level objectives

Cause: operators must see how fast each deployment and organisation uses up its allowed failures, and what uses them, also after an entry was replaced.

--- /dev/null
+++ b/lib/burns/plot.go
@@ -0,0 +1,68 @@
+package burns
+
+import (
+	"fmt"
+	"io"
+	"slices"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+const (
+	plotWidth  = 24 * vg.Centimeter
+	plotHeight = 14 * vg.Centimeter
+)
+
+// Plot draws the error budget that is left over the long window, one line for
+// each deployment and objective. Format is svg, png or pdf.
+func (summary Summary) Plot(out io.Writer, format string) error {
+	drawing := plot.New()
+	drawing.Title.Text = "error budget left, window of 3 days"
+	drawing.X.Label.Text = "hours before " + summary.At.Format("2006-01-02 15:04 MST")
+	drawing.Y.Label.Text = "share of the budget left"
+	drawing.Legend.Left = true
+	drawing.Add(plotter.NewGrid())
+	for index, history := range summary.history {
+		line, err := plotter.NewLine(history.budget(Minute(summary.At)))
+		if err != nil {
+			return fmt.Errorf("plot %s %s: %w", history.deployment, history.objective, err)
+		}
+		line.Color = plotutil.Color(index)
+		line.Dashes = plotutil.Dashes(index / 7)
+		drawing.Add(line)
+		drawing.Legend.Add(history.deployment+" "+string(history.objective), line)
+	}
+	image, err := drawing.WriterTo(plotWidth, plotHeight, format)
+	if err != nil {
+		return fmt.Errorf("draw burn report: %w", err)
+	}
+	if _, err := image.WriteTo(out); err != nil {
+		return fmt.Errorf("write burn report: %w", err)
+	}
+	return nil
+}
+
+// budget returns the share of the budget left after each hour. The budget is
+// that of all events of the window, so the line ends at the row's figure.
+func (history history) budget(now int64) plotter.XYs {
+	allowed := (1 - history.target) * float64(history.cells.within(now, LongWindow).Total())
+	points := plotter.XYs{}
+	for ago := int64(LongWindow); ago >= 0; ago -= hour {
+		until := now - ago
+		bad := int64(0)
+		for minute, count := range history.cells {
+			if minute > now-LongWindow && minute <= until {
+				bad += count.Bad()
+			}
+		}
+		left := 1.0
+		if allowed > 0 {
+			left = 1 - float64(bad)/allowed
+		}
+		points = append(points, plotter.XY{X: -float64(ago) / hour, Y: left})
+	}
+	return slices.Clip(points)
+}
