--- a/Makefile
+++ b/Makefile
@@ -6,8 +6,10 @@
 GENERATED = $(shell git ls-files --cached --others --exclude-standard "*.pb.go")
 GO_FILES = $$(git ls-files --cached --others --exclude-standard '*.go' | grep -v '\.pb\.go$$')
 
+# No job is named after a file that it makes.
+.PHONY: help build demo soak bench_burst compare_bursts bench_requests bench_config test format format-check lint vet unit race clean
 
-.PHONY: help build demo test format format-check lint vet unit race clean
+.PHONY: bench_burst help build test format format-check lint vet unit race clean
 
 help: ## List the jobs
 	@grep -E '^[a-z_-]+:.*##' Makefile | sed 's/:.*##/:/'
@@ -39,6 +41,11 @@
 
 demo: build ## Push a version to a small fleet on stand-ins while callers keep asking
 	@scripts/demo.sh
+bench_burst: ## Measure a version's distribution: HOSTS, FAULTS, SEED, W, POLICY, STRATEGIES
+	@HOSTS=$(HOSTS) FAULTS=$(FAULTS) SEED=$(SEED) W=$(W) POLICY=$(POLICY) STRATEGIES="$(STRATEGIES)" scripts/bench_burst.sh
 
 clean: ## Remove everything that the build made
 	@rm -rf $(OUT)
+
+bench_config: build ## Time until configuration changes are in force, and what they cost
+	@scripts/bench_config.sh
