Let hosts serve a replaced version until their turn

Cause: when a new rollout replaced another half-way, or the routing changed without a rollout, hosts on a version that the configuration no longer named stopped admission at once, and the minimum serving share was broken.

Change: a version that is admitted at the moment at which the configuration ceases to name it is carried over on that host: it serves on until the host holds a slot, and no other host may begin with it.

After: at least 4 of 6, also when the routing changes directly; all reach the version (go test -run TestRolloutReplaced firford/lib/rollouts).

--- a/lib/rollouts/control.go
+++ b/lib/rollouts/control.go
@@ -299,6 +299,9 @@
 		return
 	}
 	loader.admitting, loader.serving = admitting, version
+	if admitting && version != loader.carried {
+		loader.carried = ""
+	}
 	loader.dependencies.Logger.Info("admission changed", zap.String("version", version), zap.Bool("serving", admitting))
 	loader.dependencies.Serving(version, admitting)
 }
@@ -358,12 +361,12 @@
 		nudge(loader.readNow)
 		err = errStaleStatus
 	}
-	plan := loader.plan()
 	loader.mutex.Lock()
 	defer loader.mutex.Unlock()
 	if epoch != loader.epoch {
 		return
 	}
+	plan := loader.planLocked()
 	before := loader.observed
 	if err != nil {
 		loader.observed.failures++
--- a/lib/rollouts/loader.go
+++ b/lib/rollouts/loader.go
@@ -12,6 +12,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -73,6 +74,7 @@
 		committing bool
 		serving    string
 		admitting  bool
+		carried    string
 		slotUntil  time.Time
 		state      HostState
 
@@ -160,8 +162,24 @@
 	return plan.Admits(Status{Version: version})
 }
 
+// plan returns the plan of the newest configuration. The version that is
+// admitted at this moment is carried over if the plan has ceased to name it.
 func (loader *Loader) plan() Plan {
-	return NewPlan(loader.dependencies.Source.Current(), loader.dependencies.Self.Deployment)
+	loader.mutex.Lock()
+	defer loader.mutex.Unlock()
+	return loader.planLocked()
+}
+
+func (loader *Loader) planLocked() Plan {
+	snapshot := loader.dependencies.Source.Current()
+	plan := NewPlan(snapshot, loader.dependencies.Self.Deployment)
+	if loader.admitting && !plan.Service() && !slices.Contains(plan.Allowed(), loader.serving) {
+		loader.carried = loader.serving
+	}
+	if plan.Configured && loader.carried != "" {
+		plan = plan.WithCarried(snapshot, loader.carried)
+	}
+	return plan
 }
 
 func (loader *Loader) watchConfiguration(ctx context.Context) {
--- a/lib/rollouts/loader_test.go
+++ b/lib/rollouts/loader_test.go
@@ -78,6 +78,38 @@
 	return fleet, engine, started
 }
 
+// Guards against a new rollout, or a change of the routing, that takes all hosts
+// out of service which serve a version that the configuration no longer names.
+func TestRolloutReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newFleet(6, configurations.Deployment{MinimumServingShare: 0.6}, "v1", "v2", "v3")
+		agents := startAll(fleet, true)
+		defer stopAll(agents)
+		convey.Convey("Hosts keep a version that was intended until their turn", t, func() {
+			settle(time.Minute, agents...)
+			fleet.rollout(configurations.RolloutRunning)
+			for servedVersions(agents)["v2"] < 3 {
+				settle(100 * time.Millisecond)
+			}
+			least := func(steps int) int {
+				low := 6
+				for range steps {
+					settle(100 * time.Millisecond)
+					versions := servedVersions(agents)
+					low = min(low, versions["v1"]+versions["v2"]+versions["v3"])
+				}
+				return low
+			}
+			fleet.put(configurations.Rollout{Deployment: testDeployment, Version: "v3", Previous: "v1", State: configurations.RolloutRunning})
+			convey.So(least(1200), convey.ShouldBeGreaterThanOrEqualTo, 4)
+			convey.So(servedVersions(agents), convey.ShouldResemble, map[string]int{"v3": 6})
+			fleet.put(configurations.Routing{Deployment: testDeployment, Version: "v1"})
+			convey.So(least(1200), convey.ShouldBeGreaterThanOrEqualTo, 4)
+			convey.So(servedVersions(agents), convey.ShouldResemble, map[string]int{"v1": 6})
+		})
+	})
+}
+
 // Guards against a canary whose failure lets the rollout go on, or that stays
 // without a version.
 func TestCanaryFailure(t *testing.T) {
--- a/lib/rollouts/plan.go
+++ b/lib/rollouts/plan.go
@@ -1,6 +1,7 @@
 package rollouts
 
 import (
+	"maps"
 	"slices"
 
 	"firford/lib/configurations"
@@ -27,6 +28,8 @@
 	Routing         configurations.Routing
 	RoutingRevision int64
 
+	// carried is a version that is served although the plan no longer names it.
+	carried  string
 	versions map[string]configurations.Version
 }
 
@@ -58,6 +61,21 @@
 	return plan
 }
 
+// WithCarried returns the plan for a host that serves a version which was
+// intended until the configuration changed, for example by a rollout that
+// replaced another half-way. It may serve on until its turn to load: otherwise
+// one change would take all such hosts out of service at once.
+func (plan Plan) WithCarried(snapshot configurations.Snapshot, name string) Plan {
+	version, _, found := configurations.Lookup[configurations.Version](snapshot, name)
+	if !found || slices.Contains(plan.Allowed(), name) {
+		return plan
+	}
+	plan.versions = maps.Clone(plan.versions)
+	plan.versions[name] = version
+	plan.carried = name
+	return plan
+}
+
 func (plan Plan) rolloutGoverns() bool {
 	switch plan.Rollout.State {
 	case configurations.RolloutRunning, configurations.RolloutPaused:
@@ -74,7 +92,7 @@
 }
 
 // Allowed returns the versions that may serve. During a rollout these are both
-// versions, because hosts change one after the other.
+// versions, because hosts change one after the other, and the carried one.
 func (plan Plan) Allowed() []string {
 	var allowed []string
 	for _, name := range []string{plan.Version, plan.Previous} {
@@ -85,6 +103,9 @@
 			allowed = append(allowed, name)
 		}
 	}
+	if plan.carried != "" {
+		allowed = append(allowed, plan.carried)
+	}
 	return allowed
 }
 
