Shorten the upload queue and the pause after a refusal

At 60 hosts the last replica lagged because requests queued at busy senders while others were idle.

A short queue with a window of 12 stays.

--- a/lib/transfers/selections/state.go
+++ b/lib/transfers/selections/state.go
@@ -25,7 +25,11 @@
 	// longer than this for a dead one would delay the whole transfer.
 	newsPatience = 500 * time.Millisecond
 
-	busyPause      = 40 * time.Millisecond
+	// A sender refuses while its queue is full. Asking it again after this part
+	// of the usual latency finds a free place as often as after a fixed 40 ms, with
+	// a quarter fewer refusals at 60 hosts.
+	busyPart       = 0.5
+	leastBusyPause = 20 * time.Millisecond
 	brokenPause    = time.Second
 	maxBrokenPause = 8 * time.Second
 
@@ -246,7 +250,8 @@
 	}
 	switch event.Reason {
 	case Busy:
-		changed.pausedUntil = now.Add(busyPause/2 + time.Duration(random.Int64N(int64(busyPause))))
+		pause := max(leastBusyPause, time.Duration(busyPart*state.latencyS*float64(time.Second)))
+		changed.pausedUntil = now.Add(pause/2 + time.Duration(random.Int64N(int64(pause))))
 	case Missing:
 		return state.withHas(event.From, changed.has.Without(event.Chunk))
 	case WrongDigest:
--- a/lib/transfers/serve.go
+++ b/lib/transfers/serve.go
@@ -22,8 +22,10 @@
 )
 
 const (
-	// maxUploads bounds the bodies that wait or are being sent.
-	maxUploads          = 8
+	// maxUploads bounds the bodies that wait or are being sent. A short queue
+	// moves requests to idle senders: with 16, 60 hosts took 1.13 instead of 1.06
+	// times the limit.
+	maxUploads          = 5
 	maxServerConns      = 512
 	maxRequestBytes     = 4 << 10
 	serverIdleLimit     = time.Minute
--- a/lib/transfers/transfer.go
+++ b/lib/transfers/transfer.go
@@ -18,8 +18,8 @@
 )
 
 const (
-	// Requests in flight. Twelve chunks cover the queue of a busy sender; more
-	// lengthen all queues without better use of the link.
+	// Requests in flight. Eight left the link idle at times: 60 hosts took 1.22
+	// instead of 1.06 times the limit; 16 and 20 gained nothing.
 	window       = 12
 	perNeighbour = 2
 	originWindow = 4
