--- a/Makefile
+++ b/Makefile
@@ -9,8 +9,6 @@
 # No job is named after a file that it makes.
 .PHONY: help build demo soak bench_burst compare_bursts bench_requests bench_config test format format-check lint vet unit race clean
 
-.PHONY: help build demo bench_requests test format format-check lint vet unit race clean
-
 help: ## List the jobs
 	@grep -E '^[a-z_-]+:.*##' Makefile | sed 's/:.*##/:/'
 
@@ -41,6 +39,7 @@
 
 demo: build ## Push a version to a small fleet on stand-ins while callers keep asking
 	@scripts/demo.sh
+
 bench_burst: ## Measure a version's distribution: HOSTS, FAULTS, SEED, W, POLICY, STRATEGIES
 	@HOSTS=$(HOSTS) FAULTS=$(FAULTS) SEED=$(SEED) W=$(W) POLICY=$(POLICY) STRATEGIES="$(STRATEGIES)" scripts/bench_burst.sh
 
@@ -50,8 +49,8 @@
 bench_requests: build ## Measure the request path: policies, goodput, added latency, requests per second
 	@scripts/bench_requests.sh
 
-clean: ## Remove everything that the build made
-	@rm -rf $(OUT)
-
 bench_config: build ## Time until configuration changes are in force, and what they cost
 	@scripts/bench_config.sh
+
+clean: ## Remove everything that the build made
+	@rm -rf $(OUT)
