Report the burn of service-level objectives to operators

Entries counted nothing and answered no burn report. An entry now hands what the callers' API observes to the burn recorder, collects the counts of all entries for a report, and counts the time until a rollout is done at the one entry that ranks first for it. The command line's test used a document of another form and now uses the real one.

Tests: go test firford/lib/burns firford/cmd/firford/commands pass.

--- a/cmd/entry/assembly/assembly.go
+++ b/cmd/entry/assembly/assembly.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"firford/lib/backends"
+	"firford/lib/burns"
 	"firford/lib/configurations"
 	"firford/lib/hosts"
 	"firford/lib/invariants"
@@ -50,6 +51,8 @@
 	agents        *requests.Agents
 	claims        *requests.Claims
 	front         *requests.Front
+	platform      *platform.Client
+	burn          *burns.Recorder
 	operators     *operators.Server
 }
 
@@ -100,16 +103,20 @@
 	entry.options.Beat = entry.configuration.Beat
 	entry.options.OnBeat = entry.configuration.OnBeat
 	entry.configuration.Register(entry.router)
+	entry.platform = client
+	entry.burn = burns.NewRecorder(entry.configuration, entry.metrics.Scope, entry.logger)
+	burns.Register(entry.router, entry.burn)
 	entry.agents = requests.NewAgents(alive, entry.self, backends.TwoChoicesByLoad{}, entry.options)
 	entry.claims = requests.NewClaims(client)
 	dispatcher := requests.NewDispatcher(entry.agents, requests.NewClient(entry.router), entry.claims, entry.checker, entry.logger)
 	entry.front = requests.NewFront(requests.Dependencies{
 		Source: entry.configuration, Dispatcher: dispatcher, Entries: entry.liveEntries,
-		Scope: entry.metrics.Scope, Logger: entry.logger,
+		Observer: burnObserver{recorder: entry.burn},
+		Scope:    entry.metrics.Scope, Logger: entry.logger,
 	})
 	entry.operators = operators.NewServer(operators.Dependencies{
 		Configuration: entry.configuration, Operators: entry.settings.Tokens, Engines: engineLister{entry: entry},
-		Surveyor: surveyor{entry: entry}, TLS: entry.listenerTLS(), Logger: entry.logger,
+		Surveyor: surveyor{entry: entry}, Burn: burnReporter{entry: entry}, TLS: entry.listenerTLS(), Logger: entry.logger,
 	})
 }
 
@@ -147,6 +154,11 @@
 	group.Go(func() error { entry.configuration.Run(alive); return nil })
 	group.Go(func() error { entry.claims.Serve(alive); return nil })
 	group.Go(func() error { entry.followAgents(alive); return nil })
+	group.Go(func() error { entry.followRollouts(alive); return nil })
+	group.Go(func() error {
+		entry.burn.Run(alive, burns.NewArchive(entry.self.Name, entry.platform, entry.platform))
+		return nil
+	})
 	group.Go(func() error { return entry.operators.Serve(accepting, listeners.operators) })
 	group.Go(func() error {
 		defer end()
--- /dev/null
+++ b/cmd/entry/assembly/burn.go
@@ -0,0 +1,137 @@
+package assembly
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"firford/lib/burns"
+	"firford/lib/configurations"
+	"firford/lib/hosts"
+	"firford/lib/links"
+	"firford/lib/requests"
+)
+
+const peerDialTimeout = 2 * time.Second
+
+type (
+	// burnObserver hands what the callers' API observes to the recorder.
+	burnObserver struct {
+		recorder *burns.Recorder
+	}
+
+	// burnReporter answers operators with the counts of all entries.
+	burnReporter struct {
+		entry *entry
+	}
+)
+
+// Observe implements requests.Observer. The gap between tokens is the mean of
+// one answer: an objective for each single gap would count a long answer as
+// many events.
+func (observer burnObserver) Observe(observation requests.Observation) {
+	deployment, organisation := observation.Deployment, observation.Organisation
+	switch observation.Outcome {
+	case requests.OutcomeAnswered:
+		observer.recorder.Answered(deployment, organisation, !observation.Ended.After(observation.Deadline))
+	case requests.OutcomeNotRun:
+		observer.recorder.NotRun(deployment, organisation, observation.Code)
+		return
+	default:
+		observer.recorder.Unknown(deployment, organisation)
+	}
+	if observation.FirstPart.IsZero() {
+		return
+	}
+	observer.recorder.FirstToken(deployment, organisation, observation.FirstPart.Sub(observation.Started))
+	if observation.Parts > 1 {
+		gap := observation.Ended.Sub(observation.FirstPart) / time.Duration(observation.Parts-1)
+		observer.recorder.TokenGap(deployment, organisation, gap)
+	}
+}
+
+// BurnReport implements operators.BurnReporter.
+func (reporter burnReporter) BurnReport(ctx context.Context, deployment string) ([]byte, error) {
+	entry := reporter.entry
+	peers := reporter.openLinks(ctx)
+	defer func() {
+		for _, peer := range peers {
+			if peer != nil {
+				peer.Close()
+			}
+		}
+	}()
+	archive := burns.NewArchive(entry.self.Name, entry.platform, entry.platform)
+	counts, missing := burns.Gather(ctx, entry.burn, archive, peers)
+	if deployment != "" {
+		counts = counts.Of(deployment)
+	}
+	return burns.Report(counts, entry.configuration.Current(), time.Now()).WithMissing(missing).JSON()
+}
+
+// openLinks connects with every other entry; one that is not reached is nil.
+func (reporter burnReporter) openLinks(ctx context.Context) map[string]*links.Link {
+	entry := reporter.entry
+	others := hosts.Select(entry.watcher.Current(), func(host hosts.Host) bool {
+		return host.Role == hosts.RoleEntry && host.Name != entry.self.Name
+	})
+	var mutex sync.Mutex
+	var dials sync.WaitGroup
+	free := make(chan struct{}, stateParallel)
+	peers := map[string]*links.Link{}
+	for _, host := range others {
+		free <- struct{}{}
+		dials.Go(func() {
+			defer func() { <-free }()
+			ctx, cancel := context.WithTimeout(ctx, peerDialTimeout)
+			defer cancel()
+			link, err := links.Dial(ctx, host.Address, entry.options)
+			if err != nil {
+				link = nil
+			}
+			mutex.Lock()
+			defer mutex.Unlock()
+			peers[host.Name] = link
+		})
+	}
+	dials.Wait()
+	return peers
+}
+
+// followRollouts counts the time until a version was serving everywhere. Each
+// rollout is counted by the one entry that ranks first for it. An entry that
+// starts during a rollout does not know its beginning and does not count it.
+func (entry *entry) followRollouts(ctx context.Context) {
+	started := map[string]time.Time{}
+	revision := int64(0)
+	for first := true; ; first = false {
+		snapshot, err := entry.configuration.Wait(ctx, revision)
+		if err != nil {
+			return
+		}
+		revision = snapshot.Revision
+		for _, rollout := range configurations.All[configurations.Rollout](snapshot) {
+			key := rollout.Deployment + "/" + rollout.Version
+			begun, known := started[key]
+			switch {
+			case rollout.State == configurations.RolloutRunning && !known && !first:
+				started[key] = time.Now()
+			case rollout.State == configurations.RolloutDone && known:
+				delete(started, key)
+				if entry.ranksFirst(key) {
+					entry.burn.Replicas(rollout.Deployment, time.Since(begun))
+				}
+			case rollout.State == configurations.RolloutUndone || rollout.State == configurations.RolloutStopped:
+				delete(started, key)
+			}
+		}
+	}
+}
+
+func (entry *entry) ranksFirst(key string) bool {
+	entries := hosts.Select(entry.watcher.Current(), func(host hosts.Host) bool {
+		return host.Role == hosts.RoleEntry && !host.Leaving
+	})
+	ranked := hosts.Rank(key, entries)
+	return len(ranked) == 0 || ranked[0].Name == entry.self.Name
+}
--- a/cmd/firford/commands/commands_test.go
+++ b/cmd/firford/commands/commands_test.go
@@ -20,6 +20,7 @@
 	"go.uber.org/zap"
 
 	"firford/cmd/fakeplatform/server"
+	"firford/lib/burns"
 	"firford/lib/configurations"
 	"firford/lib/hosts"
 	"firford/lib/invariants"
@@ -56,7 +57,11 @@
 }
 
 func (standings) BurnReport(context.Context, string) ([]byte, error) {
-	return []byte(`{"deployments":[{"name":"plant","burn_rate_1h":0.5}]}`), nil
+	return burns.Summary{Rows: []burns.Row{{
+		Deployment: "plant", Objective: burns.ObjectiveAnswered, Target: 0.999, ShortTotal: 1000, ShortBad: 2,
+		LongTotal: 4000, LongBad: 2, ShortRate: 2, LongRate: 0.5, BudgetLeft: 0.5, State: burns.StateBurning,
+		Causes: []burns.Cause{{Organisation: "assay", Reason: "late", Share: 1}},
+	}}}.JSON()
 }
 
 func listen(t *testing.T) net.Listener {
--- a/cmd/firford/commands/states.go
+++ b/cmd/firford/commands/states.go
@@ -1,11 +1,15 @@
 package commands
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
+	"os"
+	"path/filepath"
 	"strings"
 
+	"firford/lib/burns"
 	"firford/lib/operators/wire"
 	"firford/lib/processes"
 )
@@ -21,6 +25,7 @@
 
 	burnCommand struct {
 		Deployment string `arg:"--deployment" help:"report only this deployment (default: all)"`
+		Plot       string `arg:"--plot" help:"also draw the budgets into this file, .svg, .png or .pdf by its name"`
 	}
 
 	checkCommand struct {
@@ -141,25 +146,30 @@
 		if err != nil {
 			return err
 		}
-		if session.arguments.JSON {
-			return session.show(json.RawMessage(report.GetJson()), "")
+		var summary burns.Summary
+		if err := json.Unmarshal(report.GetJson(), &summary); err != nil {
+			return fmt.Errorf("decode the burn report: %w", err)
 		}
-		text, err := burnText(report.GetJson())
-		if err != nil {
+		if err := command.draw(summary); err != nil {
 			return err
 		}
-		return session.show(nil, text)
+		return session.show(summary, summary.Text())
 	})
 }
 
-// burnText renders the report for people.
-func burnText(encoded []byte) (string, error) {
-	var document any
-	if err := json.Unmarshal(encoded, &document); err != nil {
-		return "", fmt.Errorf("decode the burn report: %w", err)
+// draw writes the plot where one was asked for.
+func (command *burnCommand) draw(summary burns.Summary) error {
+	if command.Plot == "" {
+		return nil
+	}
+	var image bytes.Buffer
+	if err := summary.Plot(&image, strings.TrimPrefix(filepath.Ext(command.Plot), ".")); err != nil {
+		return err
+	}
+	if err := os.WriteFile(command.Plot, image.Bytes(), 0o644); err != nil {
+		return fmt.Errorf("write plot: %w", err)
 	}
-	indented, err := json.MarshalIndent(document, "", "  ")
-	return strings.TrimSpace(string(indented)) + "\n", err
+	return nil
 }
 
 func (command *checkCommand) run(_ context.Context, session *session) error {
--- a/lib/burns/counts.go
+++ b/lib/burns/counts.go
@@ -113,6 +113,17 @@
 	return sum
 }
 
+// Of returns the counts of one deployment.
+func (counts Counts) Of(deployment string) Counts {
+	selected := Counts{}
+	for series, cells := range counts {
+		if series.Deployment == deployment {
+			selected[series] = cells
+		}
+	}
+	return selected
+}
+
 // Merge adds the counts of several entries.
 func Merge(all ...Counts) Counts {
 	merged := Counts{}
--- a/lib/burns/plot.go
+++ b/lib/burns/plot.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"slices"
 
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
@@ -25,15 +24,15 @@
 	drawing.Y.Label.Text = "share of the budget left"
 	drawing.Legend.Left = true
 	drawing.Add(plotter.NewGrid())
-	for index, history := range summary.history {
-		line, err := plotter.NewLine(history.budget(Minute(summary.At)))
+	for index, budget := range summary.Budgets {
+		line, err := plotter.NewLine(budget.points())
 		if err != nil {
-			return fmt.Errorf("plot %s %s: %w", history.deployment, history.objective, err)
+			return fmt.Errorf("plot %s %s: %w", budget.Deployment, budget.Objective, err)
 		}
 		line.Color = plotutil.Color(index)
 		line.Dashes = plotutil.Dashes(index / 7)
 		drawing.Add(line)
-		drawing.Legend.Add(history.deployment+" "+string(history.objective), line)
+		drawing.Legend.Add(budget.Deployment+" "+string(budget.Objective), line)
 	}
 	image, err := drawing.WriterTo(plotWidth, plotHeight, format)
 	if err != nil {
@@ -45,15 +44,24 @@
 	return nil
 }
 
-// budget returns the share of the budget left after each hour. The budget is
-// that of all events of the window, so the line ends at the row's figure.
-func (history history) budget(now int64) plotter.XYs {
-	allowed := (1 - history.target) * float64(history.cells.within(now, LongWindow).Total())
-	points := plotter.XYs{}
+// points puts the last value at the time of the report.
+func (budget Budget) points() plotter.XYs {
+	points := make(plotter.XYs, len(budget.Left))
+	for i, left := range budget.Left {
+		points[i] = plotter.XY{X: float64(i - len(budget.Left) + 1), Y: left}
+	}
+	return points
+}
+
+// budgetLeft returns the share of the budget left after each hour. The budget
+// is that of all events of the window, so the last value is the row's figure.
+func budgetLeft(cells Cells, target float64, now int64) []float64 {
+	allowed := (1 - target) * float64(cells.within(now, LongWindow).Total())
+	var shares []float64
 	for ago := int64(LongWindow); ago >= 0; ago -= hour {
 		until := now - ago
 		bad := int64(0)
-		for minute, count := range history.cells {
+		for minute, count := range cells {
 			if minute > now-LongWindow && minute <= until {
 				bad += count.Bad()
 			}
@@ -62,7 +70,7 @@
 		if allowed > 0 {
 			left = 1 - float64(bad)/allowed
 		}
-		points = append(points, plotter.XY{X: -float64(ago) / hour, Y: left})
+		shares = append(shares, left)
 	}
-	return slices.Clip(points)
+	return shares
 }
--- a/lib/burns/report.go
+++ b/lib/burns/report.go
@@ -36,7 +36,7 @@
 		At      time.Time `json:"at"`
 		Rows    []Row     `json:"rows"`
 		Missing []string  `json:"missing"`
-		history []history
+		Budgets []Budget  `json:"budgets"`
 	}
 
 	// Row is one objective of a deployment, for all its organisations together if
@@ -66,19 +66,19 @@
 		Share        float64 `json:"share"`
 	}
 
-	// history holds the cells behind a row of a whole deployment, for the plot.
-	history struct {
-		deployment string
-		objective  Objective
-		target     float64
-		cells      Cells
+	// Budget is how the error budget of a whole deployment went. Left is the share
+	// that was left after each hour of the long window, the oldest first.
+	Budget struct {
+		Deployment string    `json:"deployment"`
+		Objective  Objective `json:"objective"`
+		Left       []float64 `json:"left"`
 	}
 )
 
 // Report returns the burn rates of all series that have an objective in the
 // snapshot: first each deployment as a whole, then its organisations.
 func Report(counts Counts, snapshot configurations.Snapshot, now time.Time) Summary {
-	summary := Summary{At: now.UTC().Truncate(time.Second), Rows: []Row{}, Missing: []string{}}
+	summary := Summary{At: now.UTC().Truncate(time.Second), Rows: []Row{}, Missing: []string{}, Budgets: []Budget{}}
 	whole := Counts{}
 	for series, cells := range counts {
 		total := Series{Deployment: series.Deployment, Objective: series.Objective}
@@ -90,7 +90,9 @@
 		if !found || target <= 0 || target >= 1 {
 			continue
 		}
-		summary.history = append(summary.history, history{total.Deployment, total.Objective, target, whole[total]})
+		summary.Budgets = append(summary.Budgets, Budget{
+			Deployment: total.Deployment, Objective: total.Objective, Left: budgetLeft(whole[total], target, Minute(now)),
+		})
 		parts := partsOf(counts, total)
 		summary.Rows = append(summary.Rows, newRow(total, whole[total], parts, target, Minute(now)))
 		for _, series := range parts.sortedSeries() {
--- a/lib/requests/front.go
+++ b/lib/requests/front.go
@@ -223,15 +223,15 @@
 func describe(outcome Outcome) (name, code string) {
 	switch ended := outcome.(type) {
 	case Answered:
-		return outcomeAnswered, ""
+		return OutcomeAnswered, ""
 	case NotKept:
-		return outcomeAnswered, CodeAnswerNotKept
+		return OutcomeAnswered, CodeAnswerNotKept
 	case NotRun:
-		return outcomeNotRun, ended.Code
+		return OutcomeNotRun, ended.Code
 	case Unknown:
-		return outcomeUnknown, ended.Code
+		return OutcomeUnknown, ended.Code
 	default:
-		return outcomeUnknown, CodeOutcomeUnknown
+		return OutcomeUnknown, CodeOutcomeUnknown
 	}
 }
 
@@ -248,7 +248,7 @@
 }
 
 func newAnswerBody(end Answered) answerBody {
-	return answerBody{Outcome: outcomeAnswered, Parts: end.Parts, Digest: end.Digest, Version: end.Version}
+	return answerBody{Outcome: OutcomeAnswered, Parts: end.Parts, Digest: end.Digest, Version: end.Version}
 }
 
 // refusalStatus is the status of a refusal that does not come from the checks.
@@ -278,21 +278,21 @@
 	switch ended := outcome.(type) {
 	case NotKept:
 		return refusalBody{
-			Outcome: outcomeAnswered, Code: CodeAnswerNotKept, Message: "the request was answered earlier and its answer is no longer kept",
+			Outcome: OutcomeAnswered, Code: CodeAnswerNotKept, Message: "the request was answered earlier and its answer is no longer kept",
 			Version: ended.Answered.Version, Parts: ended.Answered.Parts, Digest: ended.Answered.Digest,
 		}
 	case NotRun:
 		return newRefusalBody(ended, time.Now())
 	case Unknown:
-		return refusalBody{Outcome: outcomeUnknown, Code: ended.Code, Message: ended.Message}
+		return refusalBody{Outcome: OutcomeUnknown, Code: ended.Code, Message: ended.Message}
 	default:
-		return refusalBody{Outcome: outcomeUnknown, Code: CodeOutcomeUnknown, Message: "outcome of an unknown type"}
+		return refusalBody{Outcome: OutcomeUnknown, Code: CodeOutcomeUnknown, Message: "outcome of an unknown type"}
 	}
 }
 
 func newRefusalBody(refusal NotRun, now time.Time) refusalBody {
 	return refusalBody{
-		Outcome: outcomeNotRun, Code: refusal.Code, Message: refusal.Message,
+		Outcome: OutcomeNotRun, Code: refusal.Code, Message: refusal.Message,
 		RetryAfterMS: retryAfterMS(refusal.RetryAt, now),
 	}
 }
@@ -323,7 +323,7 @@
 	}
 	if !json.Valid(body) {
 		writeJSON(ctx, fasthttp.StatusGatewayTimeout, refusalBody{
-			Outcome: outcomeUnknown, Code: CodeOutcomeUnknown, Message: "the answer is not valid JSON",
+			Outcome: OutcomeUnknown, Code: CodeOutcomeUnknown, Message: "the answer is not valid JSON",
 		})
 		return
 	}
@@ -341,12 +341,12 @@
 	switch {
 	case errors.Is(err, platform.ErrNotFound):
 		writeJSON(ctx, fasthttp.StatusNotFound, refusalBody{
-			Outcome: outcomeUnknown, Code: CodeUnknownKey, Message: "no claim of this key is known",
+			Outcome: OutcomeUnknown, Code: CodeUnknownKey, Message: "no claim of this key is known",
 		})
 	case err != nil:
 		front.dependencies.Logger.Info("lookup failed", logs.Organisation(asked.organisation.Name), zap.Error(err))
 		writeJSON(ctx, fasthttp.StatusServiceUnavailable, refusalBody{
-			Outcome: outcomeUnknown, Code: CodeStoreUnavailable, Message: "the claim could not be read",
+			Outcome: OutcomeUnknown, Code: CodeStoreUnavailable, Message: "the claim could not be read",
 			RetryAfterMS: defaultRetryAfter.Milliseconds(),
 		})
 	default:
--- a/lib/requests/wire.go
+++ b/lib/requests/wire.go
@@ -25,15 +25,18 @@
 	methodCancel  = "request.cancel"
 	methodState   = "agent.state"
 
-	outcomeAnswered = "answered"
-	outcomeNotRun   = "not_run"
-	outcomeUnknown  = "unknown"
-
 	// Parts that wait for the connection are bounded for each attempt. Parts beyond
 	// the bound are dropped; the entry collects them when it sees the gap.
 	maxWaitingParts = 1024
 )
 
+// Outcomes as messages and the callers' API name them.
+const (
+	OutcomeAnswered = "answered"
+	OutcomeNotRun   = "not_run"
+	OutcomeUnknown  = "unknown"
+)
+
 // States of an agent.
 const (
 	StateServing  = "serving"
@@ -252,15 +255,15 @@
 	result := runResult{Running: load.Running, Queued: load.Queued, Slots: load.Slots}
 	switch ended := outcome.(type) {
 	case Answered:
-		result.Outcome, result.Version, result.Parts = outcomeAnswered, ended.Version, ended.Parts
+		result.Outcome, result.Version, result.Parts = OutcomeAnswered, ended.Version, ended.Parts
 		result.Digest, result.Body = ended.Digest, ended.Body
 	case NotRun:
-		result.Outcome, result.Reason, result.Message = outcomeNotRun, ended.Code, ended.Message
+		result.Outcome, result.Reason, result.Message = OutcomeNotRun, ended.Code, ended.Message
 		result.RetryAfterMS = retryAfterMS(ended.RetryAt, now)
 	case Unknown:
-		result.Outcome, result.Reason, result.Message = outcomeUnknown, ended.Code, ended.Message
+		result.Outcome, result.Reason, result.Message = OutcomeUnknown, ended.Code, ended.Message
 	default:
-		result.Outcome, result.Reason = outcomeUnknown, CodeOutcomeUnknown
+		result.Outcome, result.Reason = OutcomeUnknown, CodeOutcomeUnknown
 		result.Message = "the agent returned an outcome of an unknown type"
 	}
 	return result
@@ -276,15 +279,15 @@
 
 func (result runResult) outcome(now time.Time) Outcome {
 	switch result.Outcome {
-	case outcomeAnswered:
+	case OutcomeAnswered:
 		return Answered{Version: result.Version, Parts: result.Parts, Digest: result.Digest, Body: json.RawMessage(result.Body)}
-	case outcomeNotRun:
+	case OutcomeNotRun:
 		refusal := NotRun{Code: result.Reason, Message: result.Message}
 		if result.RetryAfterMS > 0 {
 			refusal.RetryAt = now.Add(time.Duration(result.RetryAfterMS) * time.Millisecond)
 		}
 		return refusal
-	case outcomeUnknown:
+	case OutcomeUnknown:
 		return Unknown{Code: result.Reason, Message: result.Message}
 	default:
 		return Unknown{Code: CodeOutcomeUnknown, Message: "the agent sent an unknown outcome " + result.Outcome}
