--- a/lib/admissions/admissions.go
+++ b/lib/admissions/admissions.go
@@ -31,7 +31,9 @@
 
 	// Dependencies are what a queue is built from. Deployment names the one whose
 	// requests the backend server runs; its type in the configuration decides
-	// between engine and plain service.
+	// between engine and plain service. Changed, which may be nil, is told the code
+	// with which the queue refuses new work from now on, or nothing when it takes
+	// work; it must not block or call the queue.
 	Dependencies struct {
 		Deployment string
 		Backend    Backend
@@ -40,6 +42,7 @@
 		Logger     *zap.Logger
 		Scope      tally.Scope
 		Checker    invariants.Asserter
+		Changed    func(refusing string)
 	}
 
 	// Limits are the settings of a queue. Zero values mean the defaults.
--- a/lib/admissions/estimates.go
+++ b/lib/admissions/estimates.go
@@ -17,18 +17,21 @@
 	token   float64 // For each further token.
 	call    float64 // A call to a plain service.
 	service float64 // Any request as a whole.
+	length  float64 // Share of the tokens asked for that answers have.
 }
 
 func newEstimates() estimates {
-	return estimates{first: initialFirst, token: initialToken, call: initialCall, service: initialFirst}
+	return estimates{first: initialFirst, token: initialToken, call: initialCall, service: initialFirst, length: 1}
 }
 
-// WithGeneration returns the estimates after a whole answer.
-func (known estimates) WithGeneration(first, total float64, tokens int) estimates {
+// WithGeneration returns the estimates after a whole answer of the tokens to a
+// request for at most the asked ones.
+func (known estimates) WithGeneration(first, total float64, tokens, asked int) estimates {
 	known.first = average(known.first, first)
 	if tokens > 1 {
 		known.token = average(known.token, (total-first)/float64(tokens-1))
 	}
+	known.length = average(known.length, float64(tokens)/float64(max(asked, tokens, 1)))
 	known.service = average(known.service, total)
 	return known
 }
@@ -48,7 +51,8 @@
 func (known estimates) of(work job) float64 {
 	switch work := work.(type) {
 	case generation:
-		return known.first + known.token*float64(max(work.maxTokens-work.after-1, 0))
+		expected := float64(work.maxTokens-work.after)*known.length - 1
+		return known.first + known.token*max(expected, 0)
 	case call:
 		return known.call
 	default:
--- a/lib/admissions/execute.go
+++ b/lib/admissions/execute.go
@@ -106,6 +106,9 @@
 		}
 		queue.mutex.Lock()
 		defer queue.mutex.Unlock()
+		if running.phase == phaseEnded {
+			return // The size of a kept attempt no longer changes.
+		}
 		running.add(token.Text)
 		if running.bytes > queue.dependencies.Limits.AnswerBytes {
 			cancel(errAnswerTooLong)
@@ -126,7 +129,13 @@
 		Arguments: work.arguments,
 		Once:      !running.request.Idempotent,
 	})
-	return result{version: answer.Version, body: answer.Body}, err
+	if err != nil {
+		return result{}, err
+	}
+	// The body gets the form that it has after any further encoding, so that its
+	// digest stays valid on the way to the caller.
+	body, err := json.Marshal(answer.Body)
+	return result{version: answer.Version, body: body}, err
 }
 
 // answered builds the outcome of a whole answer, measures it and holds its
@@ -139,7 +148,7 @@
 	if done.body != nil {
 		queue.ledger.estimates = queue.ledger.estimates.WithCall(total)
 	} else if count := len(running.parts); count > 0 {
-		queue.ledger.estimates = queue.ledger.estimates.WithGeneration(done.first.Sub(begun).Seconds(), total, count)
+		queue.ledger.estimates = queue.ledger.estimates.WithGeneration(done.first.Sub(begun).Seconds(), total, count, asked(running.work))
 	}
 	before := queue.ledger.gate
 	queue.ledger.gate = before.WithAnswer(done.version, running.epoch)
@@ -150,6 +159,14 @@
 	return running.answer(done)
 }
 
+// asked returns how many tokens the job asks for at most.
+func asked(work job) int {
+	if generate, is := work.(generation); is {
+		return generate.maxTokens - generate.after
+	}
+	return 0
+}
+
 // answer returns the end of the whole answer. The digest covers the parts after
 // AfterPart, because the agent has not seen those before.
 func (running *attempt) answer(done result) requests.Answered {
--- a/lib/admissions/queue.go
+++ b/lib/admissions/queue.go
@@ -172,6 +172,14 @@
 	return requests.Load{Running: queue.ledger.running, Queued: queue.ledger.flows.waiting, Slots: queue.ledger.slots}
 }
 
+// Refusing returns the code with which new work is refused, or nothing while the
+// queue takes work.
+func (queue *Queue) Refusing() string {
+	queue.mutex.Lock()
+	defer queue.mutex.Unlock()
+	return queue.ledger.gate.closed()
+}
+
 // SetServing says which version the backend server is to serve from now on, and
 // whether it has been read back as serving it. An empty version admits any,
 // which is right for plain services. Waiting requests are refused when the
--- a/lib/admissions/watch.go
+++ b/lib/admissions/watch.go
@@ -60,6 +60,9 @@
 	if before.closed() != after.closed() {
 		queue.dependencies.Logger.Info("admission changed", zap.String("refusing", after.closed()),
 			zap.String("intended", after.intended), zap.String("stated", after.stated))
+		if queue.dependencies.Changed != nil {
+			queue.dependencies.Changed(after.closed())
+		}
 	}
 	queue.ledger.flush(now)
 	queue.dispatch(now)
