--- a/lib/configurations/node.go
+++ b/lib/configurations/node.go
@@ -230,14 +230,15 @@
 func (node *Node) apply(changes []Change) bool {
 	node.mutex.Lock()
 	defer node.mutex.Unlock()
-	snapshot := node.snapshot
+	snapshot, whole := node.snapshot, true
 	for _, change := range changes {
 		if change.Revision <= snapshot.Revision {
 			continue
 		}
 		next, err := snapshot.With(change)
 		if err != nil {
-			return false
+			whole = false
+			break
 		}
 		snapshot = next
 		node.recent = append(node.recent, change)
@@ -246,7 +247,7 @@
 	if snapshot.Revision > node.snapshot.Revision {
 		node.setLocked(snapshot)
 	}
-	return true
+	return whole
 }
 
 // replace puts a whole configuration in force unless it is older.
--- a/scripts/bench_config.sh
+++ b/scripts/bench_config.sh
@@ -44,7 +44,8 @@
   done
   "$BENCH" config-drive --directory "$RUN" --platform "127.0.0.1:$BASE_PORT" \
     --changes "$CHANGES" --seed "$SEED" "${QUIET[@]}" --out "$WHOLE/$size.json"
-  stop_all || true # Its last test of an ended process fails.
+  stop_all
+  set -e
   trap stop_all EXIT
   trap 'exit 130' INT TERM
   PROCESS_IDS=()
