--- a/cmd/bench/selection/command.go
+++ b/cmd/bench/selection/command.go
@@ -9,6 +9,7 @@
 	"context"
 	"fmt"
 	"os"
+	"slices"
 	"strconv"
 	"time"
 
@@ -21,8 +22,9 @@
 	Output  string          `arg:"--output" default:"out/bench" help:"directory of the reports"`
 	Engines int             `arg:"--engines" default:"12" help:"number of engines; the first has half the speed of the others"`
 	Load    float64         `arg:"--load" default:"0.75" help:"share of the engines' capacity that the callers ask for"`
-	Lags    []time.Duration `arg:"--lags" help:"ages of the stated load (default: 100ms 1s 5s)"`
+	Lags    []time.Duration `arg:"--lags" help:"ages of the stated load (default: 10ms 100ms 1s 5s)"`
 	Entries []int           `arg:"--entries" help:"numbers of entries (default: 1 4 16)"`
+	Policy  []string        `arg:"--policy" help:"policies to compare (default: all)"`
 	WarmUp  time.Duration   `arg:"--warm-up" default:"1s"`
 	Length  time.Duration   `arg:"--length" default:"3s" help:"measured time of each cell"`
 	Seed    uint64          `arg:"--seed" default:"1"`
@@ -57,7 +59,7 @@
 // Run prints and saves both tables.
 func (command *Command) Run(ctx context.Context) error {
 	if len(command.Lags) == 0 {
-		command.Lags = []time.Duration{100 * time.Millisecond, time.Second, 5 * time.Second}
+		command.Lags = []time.Duration{10 * time.Millisecond, 100 * time.Millisecond, time.Second, 5 * time.Second}
 	}
 	if len(command.Entries) == 0 {
 		command.Entries = []int{1, 4, 16}
@@ -90,6 +92,9 @@
 	for _, entries := range command.Entries {
 		for _, lag := range command.Lags {
 			for _, policy := range backends.Policies() {
+				if len(command.Policy) > 0 && !slices.Contains(command.Policy, policy.String()) {
+					continue
+				}
 				cell, err := command.cell(ctx, policy, lag, entries, command.Load)
 				if err != nil {
 					return err
--- a/lib/backends/policies.go
+++ b/lib/backends/policies.go
@@ -6,19 +6,27 @@
 
 import "math"
 
-const fullLoad = 100
+const (
+	fullLoad = 100
+	// One report changes the average of others' load by this part. Reports are
+	// older than a request takes, so that a single one says little of now; what
+	// lasts, such as a slow engine, shows in the average.
+	smoothing = 0.1
+)
 
 type (
 	// Candidate is an agent that may get a request. Slots is how many requests its
 	// backend server runs at once, Own the number that this entry has in flight
 	// there. Reported is the running and queued requests that the agent last
-	// stated, and OwnThen the value of Own when that statement arrived.
+	// stated, and OwnThen the value of Own when that statement arrived. Others is
+	// what Smooth has made of the statements.
 	Candidate struct {
 		Name     string
 		Slots    int
 		Own      int
 		Reported int
 		OwnThen  int
+		Others   float64
 	}
 
 	// Chance is a source of random numbers. *rand.Rand of math/rand/v2 implements it.
@@ -51,12 +59,18 @@
 	// estimate of its whole load: what others had there at the last report and
 	// what this entry has there now.
 	TwoChoicesByLoad struct{}
+
+	// TwoChoicesSmoothed draws two candidates and takes the one with fewer
+	// requests for each slot: what this entry has there now, and what others had
+	// there on average of the last reports.
+	TwoChoicesSmoothed struct{}
 )
 
-func (RoundRobin) policy()       {}
-func (AvailableLoad) policy()    {}
-func (TwoChoices) policy()       {}
-func (TwoChoicesByLoad) policy() {}
+func (RoundRobin) policy()         {}
+func (AvailableLoad) policy()      {}
+func (TwoChoices) policy()         {}
+func (TwoChoicesByLoad) policy()   {}
+func (TwoChoicesSmoothed) policy() {}
 
 // String implements Policy.
 func (RoundRobin) String() string { return "round_robin" }
@@ -70,9 +84,12 @@
 // String implements Policy.
 func (TwoChoicesByLoad) String() string { return "two_choices_by_load" }
 
+// String implements Policy.
+func (TwoChoicesSmoothed) String() string { return "two_choices_smoothed" }
+
 // Policies returns all policies in the order of the bench's tables.
 func Policies() []Policy {
-	return []Policy{RoundRobin{}, AvailableLoad{}, TwoChoices{}, TwoChoicesByLoad{}}
+	return []Policy{RoundRobin{}, AvailableLoad{}, TwoChoices{}, TwoChoicesByLoad{}, TwoChoicesSmoothed{}}
 }
 
 // Choose returns the index of the candidate that gets the request, or -1 when
@@ -90,6 +107,8 @@
 		return lowerOfTwo(candidates, chance, Candidate.ownShare)
 	case TwoChoicesByLoad:
 		return lowerOfTwo(candidates, chance, Candidate.estimate)
+	case TwoChoicesSmoothed:
+		return lowerOfTwo(candidates, chance, Candidate.smoothed)
 	default:
 		return -1
 	}
@@ -110,6 +129,16 @@
 	return float64(others+candidate.Own) / candidate.slots()
 }
 
+func (candidate Candidate) smoothed() float64 {
+	return (math.Max(0, candidate.Others) + float64(candidate.Own)) / candidate.slots()
+}
+
+// Smooth returns the average of others' load after a report. It may be below
+// zero when reports lag behind the own requests.
+func Smooth(others float64, reported, own int) float64 {
+	return others + smoothing*(float64(reported-own)-others)
+}
+
 // available is the effective available load of C4-141319.
 func (candidate Candidate) available() float64 {
 	metric := math.Min(fullLoad, fullLoad*float64(candidate.Reported)/candidate.slots())
--- a/lib/requests/agents.go
+++ b/lib/requests/agents.go
@@ -46,6 +46,7 @@
 		own      int
 		reported int
 		ownThen  int
+		others   float64
 	}
 
 	// lease is a request in flight at an agent.
@@ -210,6 +211,7 @@
 
 func (view *agentView) report(load int) {
 	view.reported, view.ownThen = load, view.own
+	view.others = backends.Smooth(view.others, load, view.own)
 }
 
 // noted takes in the load that came with an answer.
@@ -252,7 +254,7 @@
 			continue
 		}
 		candidate := backends.Candidate{
-			Name: name, Slots: view.state.Slots, Own: view.own, Reported: view.reported, OwnThen: view.ownThen,
+			Name: name, Slots: view.state.Slots, Own: view.own, Reported: view.reported, OwnThen: view.ownThen, Others: view.others,
 		}
 		if now.Sub(view.stateAt) > quietLimit {
 			quiet = append(quiet, candidate)
