--- a/lib/transfers/selections/choose.go
+++ b/lib/transfers/selections/choose.go
@@ -108,6 +108,19 @@
 	return all
 }
 
+// reliable returns the chunks that any neighbour holds that delivers. A
+// neighbour that announces chunks and never sends them must not keep this host
+// from the origin.
+func (state State) reliable() weights.Set {
+	all := weights.NewSet(state.held.Size())
+	for _, name := range state.names {
+		if each := state.neighbours[name]; !each.avoided && each.failures < unreliableFailures {
+			all = all.Union(each.has)
+		}
+	}
+	return all
+}
+
 // askNeighbours asks for the rarest missing chunks. Avoided neighbours are
 // asked only for chunks that no other neighbour holds, so that one corrupted
 // chunk can't leave a transfer incomplete.
@@ -187,11 +200,12 @@
 	if room <= 0 || now.Before(state.originRetry) || !state.heard(now) {
 		return state, asks
 	}
+	available := state.reliable()
 	for chunk := range state.ranks {
 		if room == 0 {
 			break
 		}
-		if state.counts[chunk] > 0 || state.held.Has(chunk) || state.requested.Has(chunk) || !state.OriginAllowed(chunk, now) {
+		if available.Has(chunk) || state.held.Has(chunk) || state.requested.Has(chunk) || !state.OriginAllowed(chunk, now) {
 			continue
 		}
 		state = state.withRequest(chunk, Origin, now)
--- a/lib/transfers/selections/state.go
+++ b/lib/transfers/selections/state.go
@@ -33,6 +33,10 @@
 	brokenPause    = time.Second
 	maxBrokenPause = 8 * time.Second
 
+	// After this many failures in a row a neighbour's chunks no longer keep the
+	// host from the origin.
+	unreliableFailures = 3
+
 	// A request is repeated elsewhere when it takes this many times the usual
 	// time and nothing else is left to ask for.
 	duplicateFactor = 2
@@ -135,8 +139,8 @@
 // Knows reports whether the neighbour has announced the chunk.
 func (state State) Knows(name string, chunk int) bool { return state.neighbours[name].has.Has(chunk) }
 
-// Copies returns how many neighbours hold the chunk.
-func (state State) Copies(chunk int) int { return int(state.counts[chunk]) }
+// Reliable reports whether a neighbour that delivers holds the chunk.
+func (state State) Reliable(chunk int) bool { return state.reliable().Has(chunk) }
 
 // Step applies the message and returns the requests to send now.
 func (state State) Step(message Message, now time.Time, random *rand.Rand) (State, []Ask) {
