--- a/Makefile
+++ b/Makefile
@@ -37,8 +37,8 @@
 unit: ## All tests without the race detector
 	@go test work
 
-demo: build ## Push a version to a small fleet on stand-ins while callers keep asking
-	@scripts/demo.sh
+demo: build ## Push a version to a small fleet on stand-ins while callers keep asking: KILL
+	@KILL=$(KILL) scripts/demo.sh
 
 bench_burst: ## Measure a version's distribution: HOSTS, FAULTS, SEED, W, POLICY, STRATEGIES
 	@HOSTS=$(HOSTS) FAULTS=$(FAULTS) SEED=$(SEED) W=$(W) POLICY=$(POLICY) STRATEGIES="$(STRATEGIES)" scripts/bench_burst.sh
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -2,7 +2,8 @@
 # Shows the system at today's size: starts two entries and 12 + 3 + 1 backend
 # servers with their agents on stand-ins, pushes a version while callers keep
 # asking, and prints what happened. A process that dies is started again, as
-# the platform replaces a host. Everything is stopped at the end.
+# the platform replaces a host. KILL names a process that is killed three
+# seconds after the push began. Everything is stopped at the end.
 set -uo pipefail
 cd "$(dirname "$0")/.."
 
@@ -52,8 +53,14 @@
 fleet_start callers
 sleep "$BEFORE_S"
 ORIGIN_BEFORE=$(origin_bytes)
+[ "${KILL:-}" = platform ] && ORIGIN_BEFORE=0 # Its counters start again with it.
 echo "pushing plant-2 in a burst"
 roll_out plant plant-2 || exit 1
+if [ -n "${KILL:-}" ]; then
+  sleep 3
+  echo "killing $KILL"
+  fleet_signal KILL "$KILL"
+fi
 firford rollout watch plant || exit 1
 ORIGIN_AFTER=$(origin_bytes)
 sleep 2
