--- a/cmd/agent/assembly/assembly.go
+++ b/cmd/agent/assembly/assembly.go
@@ -5,8 +5,6 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/hex"
 	"fmt"
 	"net"
 	"time"
@@ -32,7 +30,6 @@
 )
 
 const (
-	incarnationBytes = 8
 	// drainLimit ends a shutdown whose requests don't end. It is above the longest
 	// budget that an entry accepts.
 	drainLimit = 11 * time.Minute
@@ -69,12 +66,6 @@
 	return agent.run(ctx)
 }
 
-func newIncarnation() string {
-	incarnation := make([]byte, incarnationBytes)
-	_, _ = rand.Read(incarnation) // crypto/rand never fails on supported systems.
-	return hex.EncodeToString(incarnation)
-}
-
 func newAgent(settings processes.Agent) (*agent, error) {
 	logger, err := logs.New(settings.LogLevel, settings.Name)
 	if err != nil {
@@ -84,7 +75,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for chunks: %w", err)
 	}
-	incarnation := newIncarnation()
+	incarnation := processes.NewIncarnation()
 	agent := &agent{
 		settings: settings,
 		self:     settings.Host(incarnation),
--- a/cmd/entry/assembly/assembly.go
+++ b/cmd/entry/assembly/assembly.go
@@ -5,9 +5,7 @@
 
 import (
 	"context"
-	"crypto/rand"
 	"crypto/tls"
-	"encoding/hex"
 	"fmt"
 	"net"
 	"time"
@@ -31,7 +29,6 @@
 )
 
 const (
-	incarnationBytes = 8
 	// updateInterval is how often the subsets of agents are chosen anew, so that
 	// suspected agents are replaced.
 	updateInterval = time.Second
@@ -68,18 +65,12 @@
 	return entry.run(ctx, alive, end)
 }
 
-func newIncarnation() string {
-	incarnation := make([]byte, incarnationBytes)
-	_, _ = rand.Read(incarnation) // crypto/rand never fails on supported systems.
-	return hex.EncodeToString(incarnation)
-}
-
 func newEntry(alive context.Context, settings processes.Entry) (*entry, error) {
 	logger, err := logs.New(settings.LogLevel, settings.Name)
 	if err != nil {
 		return nil, err
 	}
-	incarnation := newIncarnation()
+	incarnation := processes.NewIncarnation()
 	entry := &entry{
 		settings: settings,
 		self:     settings.Host(incarnation),
--- a/cmd/entry/main.go
+++ b/cmd/entry/main.go
@@ -3,11 +3,7 @@
 package main
 
 import (
-	"context"
-	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/alexflint/go-arg"
 
@@ -15,14 +11,8 @@
 	"firford/lib/processes"
 )
 
-const (
-	exitFailed   = 1
-	exitSettings = 2
-)
-
 type arguments struct {
-	Settings string `arg:"--settings,required" help:"settings file (INI)"`
-	Check    bool   `arg:"--check" help:"check the settings file and exit"`
+	processes.Arguments
 }
 
 func (arguments) Description() string {
@@ -36,18 +26,5 @@
 func main() {
 	var given arguments
 	arg.MustParse(&given)
-	settings, err := processes.ReadEntry(given.Settings)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(exitSettings)
-	}
-	if given.Check {
-		return
-	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	if err := assembly.Run(ctx, settings); err != nil {
-		fmt.Fprintln(os.Stderr, "entry:", err)
-		os.Exit(exitFailed)
-	}
+	os.Exit(processes.Execute("entry", given.Arguments, processes.ReadEntry, assembly.Run))
 }
