Measure what idle entries and agents cost by their numbers

docs/CAPACITY.md needs slopes of control bytes, processor time and memory for each role. The kernel's counts of a running fleet at five sizes give them; the configuration measurement uses the same package.

Tests: go test firford/cmd/bench/... passes; the measurement runs once the machine is quiet.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 GO_FILES = $$(git ls-files --cached --others --exclude-standard '*.go' | grep -v '\.pb\.go$$')
 
 # No job is named after a file that it makes.
-.PHONY: help build demo soak bench_burst compare_bursts bench_requests bench_config test format format-check lint vet unit race clean
+.PHONY: help build demo soak bench_burst compare_bursts bench_requests bench_config bench_control test format format-check lint vet unit race clean
 
 help: ## List the jobs
 	@grep -E '^[a-z_-]+:.*##' Makefile | sed 's/:.*##/:/'
@@ -52,5 +52,8 @@
 bench_config: build ## Time until configuration changes are in force, and what they cost
 	@scripts/bench_config.sh
 
+bench_control: build ## What idle entries and agents cost, by their numbers: SIZES
+	@scripts/bench_control.sh
+
 clean: ## Remove everything that the build made
 	@rm -rf $(OUT)
--- a/cmd/bench/config/command.go
+++ b/cmd/bench/config/command.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"firford/cmd/bench/report"
+	"firford/cmd/bench/usage"
 )
 
 const (
@@ -151,9 +152,9 @@
 	}
 	share := used.seconds * float64(len(before))
 	for i := range after {
-		used.bytes += float64(after[i].bytes-before[i].bytes) / share
-		used.cpu += (after[i].cpuSeconds - before[i].cpuSeconds) / share
-		used.largestMB = max(used.largestMB, float64(after[i].residentKB)/kibibyte)
+		used.bytes += float64(after[i].Bytes-before[i].Bytes) / share
+		used.cpu += (after[i].CPUSeconds - before[i].CPUSeconds) / share
+		used.largestMB = max(used.largestMB, after[i].ResidentMB())
 	}
 	used.reads = float64(storeAfter.Reads-storeBefore.Reads) / used.seconds
 	used.writes = float64(storeAfter.Writes-storeBefore.Writes) / used.seconds
@@ -258,21 +259,13 @@
 	return table
 }
 
-// fit returns the slope of a least-squares line and its value at full size. A
-// single size has no slope.
+// fit returns the slope and the value at full size.
 func fit(results []result, of func(result) float64) (slope, atFull float64) {
-	var meanX, meanY, covariance, variance float64
-	count := float64(len(results))
+	var sizes, values []float64
 	for _, each := range results {
-		meanX += float64(each.Processes) / count
-		meanY += of(each) / count
+		sizes = append(sizes, float64(each.Processes))
+		values = append(values, of(each))
 	}
-	for _, each := range results {
-		covariance += (float64(each.Processes) - meanX) * (of(each) - meanY)
-		variance += (float64(each.Processes) - meanX) * (float64(each.Processes) - meanX)
-	}
-	if variance > 0 {
-		slope = covariance / variance
-	}
-	return slope, meanY + slope*(fullProcesses-meanX)
+	slope, atZero := usage.Fit(sizes, values)
+	return slope, atZero + slope*fullProcesses
 }
--- a/cmd/bench/config/drive.go
+++ b/cmd/bench/config/drive.go
@@ -16,6 +16,7 @@
 
 	"go.uber.org/zap"
 
+	"firford/cmd/bench/usage"
 	"firford/lib/hosts"
 	"firford/lib/links"
 )
@@ -86,15 +87,14 @@
 	options := links.Options{Self: links.Identity{Name: "bench"}, Key: []byte(key), Router: links.NewRouter(), Logger: zap.NewNop()}
 	var members []*member
 	for _, host := range all {
-		written, err := os.ReadFile(filepath.Join(directory, host.Name+".pid"))
+		id, err := usage.ReadID(filepath.Join(directory, host.Name+".pid"))
 		if err != nil {
-			return nil, fmt.Errorf("read process id: %w", err)
+			return nil, err
 		}
 		link, err := dial(ctx, host.Address, options)
 		if err != nil {
 			return nil, err
 		}
-		id := int(number(strings.TrimSpace(string(written))))
 		members = append(members, &member{host: host, id: id, options: options, link: link})
 	}
 	return members, nil
@@ -257,10 +257,10 @@
 }
 
 // usages returns what each process has used so far.
-func (driver *driver) usages() ([]usage, error) {
-	var all []usage
+func (driver *driver) usages() ([]usage.Usage, error) {
+	var all []usage.Usage
 	for _, each := range driver.members {
-		used, err := readUsage(each.id)
+		used, err := usage.Read(each.id)
 		if err != nil {
 			return nil, err
 		}
--- a/cmd/bench/fleet/command.go
+++ b/cmd/bench/fleet/command.go
@@ -12,6 +12,7 @@
 	Binaries           string   `arg:"--binaries" default:"out/bin" help:"where the programs are"`
 	BasePort           int      `arg:"--base-port" default:"23000" help:"first port of the fleet; it uses 800"`
 	Entries            int      `arg:"--entries" default:"2" help:"number of entry hosts"`
+	Engines            int      `arg:"--engines" help:"one pool of this many engines in place of today's pools"`
 	DataCentres        []string `arg:"--data-centres,separate" help:"names of the data centres (default: nairobi mombasa kisumu)"`
 	HostBytesPerSecond int64    `arg:"--host-bytes-per-s" default:"2097152" help:"rate of each host's link, each way; 0: no limit"`
 	OriginBytesPerS    int64    `arg:"--origin-bytes-per-s" default:"4194304" help:"rate of the origin's link; 0: no limit"`
@@ -41,5 +42,8 @@
 		StopOnViolation:     command.StopOnViolation,
 		EngineRecordsToFile: command.RecordFiles,
 	}
+	if command.Engines > 0 {
+		plan.Pools = []Pool{{Deployment: "plant", Type: "engine", Servers: command.Engines}}
+	}
 	return plan.Write()
 }
