--- a/cmd/fakeengine/fake/engine.go
+++ b/cmd/fakeengine/fake/engine.go
@@ -90,7 +90,9 @@
 // New returns an engine whose batch runs until the context ends. It keeps its
 // record in memory only.
 func New(ctx context.Context, settings Settings, logger *zap.Logger, checker invariants.Asserter) *Engine {
-	return newEngine(ctx, settings, journal{}, logger, checker)
+	engine := newEngine(ctx, settings, journal{}, logger, checker)
+	go engine.batch()
+	return engine
 }
 
 func newEngine(ctx context.Context, settings Settings, journal journal, logger *zap.Logger, checker invariants.Asserter) *Engine {
@@ -109,7 +111,6 @@
 	if settings.Version != "" && !settings.Empty {
 		engine.serve(content{version: settings.Version, whole: true}, time.Now())
 	}
-	go engine.batch()
 	return engine
 }
 
--- a/cmd/fakeengine/fake/settings.go
+++ b/cmd/fakeengine/fake/settings.go
@@ -99,6 +99,7 @@
 			return fmt.Errorf("listen: %w", err)
 		}
 		engine := newEngine(ctx, settings, journal, logger.With(zap.String("engine", address)), checker)
+		go engine.batch()
 		go func() { failures <- engine.Serve(ctx, listener) }()
 	}
 	logger.Info("serving", zap.String("address", settings.Address), zap.Int("count", settings.Count))
