--- a/lib/requests/wire.go
+++ b/lib/requests/wire.go
@@ -25,15 +25,18 @@
 	methodCancel  = "request.cancel"
 	methodState   = "agent.state"
 
-	outcomeAnswered = "answered"
-	outcomeNotRun   = "not_run"
-	outcomeUnknown  = "unknown"
-
 	// Parts that wait for the connection are bounded for each attempt. Parts beyond
 	// the bound are dropped; the entry collects them when it sees the gap.
 	maxWaitingParts = 1024
 )
 
+// Outcomes as messages and the callers' API name them.
+const (
+	OutcomeAnswered = "answered"
+	OutcomeNotRun   = "not_run"
+	OutcomeUnknown  = "unknown"
+)
+
 // States of an agent.
 const (
 	StateServing  = "serving"
@@ -119,8 +122,12 @@
 	// outbox sends the parts of one attempt in order without making the engine's
 	// reader wait for the connection.
 	outbox struct {
-		parts chan Part
-		sent  sync.WaitGroup
+		peer Peer
+		sent sync.WaitGroup
+
+		mutex   sync.Mutex
+		waiting []Part
+		sending bool
 	}
 )
 
@@ -170,30 +177,50 @@
 // sendParts runs the attempt and returns after its last part has been sent, so
 // that the outcome follows the parts on the connection.
 func sendParts(peer Peer, run func(deliver func(Part)) Outcome) Outcome {
-	box := &outbox{parts: make(chan Part, maxWaitingParts)}
-	box.sent.Go(func() { box.send(peer) })
+	box := &outbox{peer: peer}
 	outcome := run(box.put)
-	close(box.parts)
 	box.sent.Wait()
 	return outcome
 }
 
+// put queues a part. A goroutine sends while parts are waiting, so that an
+// answer without parts needs neither a queue nor a goroutine.
 func (box *outbox) put(part Part) {
-	select {
-	case box.parts <- part:
-	default:
+	box.mutex.Lock()
+	defer box.mutex.Unlock()
+	if len(box.waiting) == maxWaitingParts {
+		return
+	}
+	box.waiting = append(box.waiting, part)
+	if !box.sending {
+		box.sending = true
+		box.sent.Go(box.send)
 	}
 }
 
-func (box *outbox) send(peer Peer) {
-	broken := false
-	for part := range box.parts {
-		if !broken {
-			broken = peer.Notify(methodPart, partParams{AttemptID: part.AttemptID, Part: part.Number, Text: part.Text}) != nil
+func (box *outbox) send() {
+	for {
+		parts := box.take()
+		if len(parts) == 0 {
+			return
+		}
+		for _, part := range parts {
+			// The link's end shows in the call that waits for the outcome.
+			_ = box.peer.Notify(methodPart, partParams{AttemptID: part.AttemptID, Part: part.Number, Text: part.Text})
 		}
 	}
 }
 
+// take empties the queue; an empty one ends the sending goroutine.
+func (box *outbox) take() []Part {
+	box.mutex.Lock()
+	defer box.mutex.Unlock()
+	parts := box.waiting
+	box.waiting = nil
+	box.sending = len(parts) > 0
+	return parts
+}
+
 func newRunParams(request Request, now time.Time) runParams {
 	return runParams{
 		AttemptID:    request.AttemptID,
@@ -228,15 +255,15 @@
 	result := runResult{Running: load.Running, Queued: load.Queued, Slots: load.Slots}
 	switch ended := outcome.(type) {
 	case Answered:
-		result.Outcome, result.Version, result.Parts = outcomeAnswered, ended.Version, ended.Parts
+		result.Outcome, result.Version, result.Parts = OutcomeAnswered, ended.Version, ended.Parts
 		result.Digest, result.Body = ended.Digest, ended.Body
 	case NotRun:
-		result.Outcome, result.Reason, result.Message = outcomeNotRun, ended.Code, ended.Message
+		result.Outcome, result.Reason, result.Message = OutcomeNotRun, ended.Code, ended.Message
 		result.RetryAfterMS = retryAfterMS(ended.RetryAt, now)
 	case Unknown:
-		result.Outcome, result.Reason, result.Message = outcomeUnknown, ended.Code, ended.Message
+		result.Outcome, result.Reason, result.Message = OutcomeUnknown, ended.Code, ended.Message
 	default:
-		result.Outcome, result.Reason = outcomeUnknown, CodeOutcomeUnknown
+		result.Outcome, result.Reason = OutcomeUnknown, CodeOutcomeUnknown
 		result.Message = "the agent returned an outcome of an unknown type"
 	}
 	return result
@@ -252,15 +279,15 @@
 
 func (result runResult) outcome(now time.Time) Outcome {
 	switch result.Outcome {
-	case outcomeAnswered:
+	case OutcomeAnswered:
 		return Answered{Version: result.Version, Parts: result.Parts, Digest: result.Digest, Body: json.RawMessage(result.Body)}
-	case outcomeNotRun:
+	case OutcomeNotRun:
 		refusal := NotRun{Code: result.Reason, Message: result.Message}
 		if result.RetryAfterMS > 0 {
 			refusal.RetryAt = now.Add(time.Duration(result.RetryAfterMS) * time.Millisecond)
 		}
 		return refusal
-	case outcomeUnknown:
+	case OutcomeUnknown:
 		return Unknown{Code: result.Reason, Message: result.Message}
 	default:
 		return Unknown{Code: CodeOutcomeUnknown, Message: "the agent sent an unknown outcome " + result.Outcome}
