Report a failed measurement of the path as an error; use free ports

Every request had failed because the stand-in served no version, and the table showed zeros. The base port met that of bench_burst.

SKIP_SELECTION=1 LENGTH=1s make bench_requests runs through without a failed request.

--- a/cmd/bench/overhead/overhead.go
+++ b/cmd/bench/overhead/overhead.go
@@ -5,6 +5,7 @@
 package overhead
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -57,6 +58,7 @@
 		answered int64
 		failed   int64
 		perS     float64
+		failure  error // The first one.
 	}
 
 	rowSummary struct {
@@ -95,8 +97,11 @@
 	client := newClient()
 	var measured summary
 	for _, count := range command.InFlight {
-		measured.Latency = append(measured.Latency, newRow(count,
-			load(ctx, client, direct, count, command.Length), load(ctx, client, through, count, command.Length)))
+		directly, whole := load(ctx, client, direct, count, command.Length), load(ctx, client, through, count, command.Length)
+		if directly.answered == 0 || whole.answered == 0 {
+			return fmt.Errorf("no request was answered: %w", cmp.Or(directly.failure, whole.failure))
+		}
+		measured.Latency = append(measured.Latency, newRow(count, directly, whole))
 	}
 	if err := setSpeed(client, command.Engine, fastSpeed); err != nil {
 		return err
@@ -158,10 +163,12 @@
 			end := (<-begin).Add(length)
 			own := hdrhistogram.New(1, histogramMaximum, histogramDigits)
 			failed := int64(0)
+			var failure error
 			for ctx.Err() == nil && time.Now().Before(end) {
 				asked := time.Now()
-				if to.ask(client) != nil {
+				if err := to.ask(client); err != nil {
 					failed++
+					failure = err
 					continue
 				}
 				_ = own.RecordValue(time.Since(asked).Microseconds()) // Below the maximum by the time-out.
@@ -170,6 +177,7 @@
 			defer mutex.Unlock()
 			seen.latency.Merge(own)
 			seen.failed += failed
+			seen.failure = cmp.Or(seen.failure, failure)
 		})
 	}
 	ready.Wait()
@@ -200,7 +208,7 @@
 		return err
 	}
 	if response.StatusCode() != fasthttp.StatusOK || !json.Valid(response.Body()) {
-		return fmt.Errorf("status %d", response.StatusCode())
+		return fmt.Errorf("status %d: %.200s", response.StatusCode(), response.Body())
 	}
 	return nil
 }
--- a/scripts/bench_requests.sh
+++ b/scripts/bench_requests.sh
@@ -7,7 +7,7 @@
 
 BIN=out/bin
 RUN=$(mktemp -d "${TMPDIR:-/tmp}/firford-bench.XXXXXX")
-BASE_PORT=${BASE_PORT:-27000}
+BASE_PORT=${BASE_PORT:-21000}
 OUTPUT=${OUTPUT:-out/bench}
 LENGTH=${LENGTH:-4s}
 SKIP_SELECTION=${SKIP_SELECTION:-}
@@ -24,7 +24,7 @@
 # The stand-in for the network would be measured too, so links go directly.
 sed -i "s/:$((BASE_PORT + 315))\"/:$((BASE_PORT + 215))\"/; s/:$((BASE_PORT + 40))\"/:$((BASE_PORT + 20))\"/" "$RUN/hosts.json"
 fleet_start platform
-start engine "$BIN/fakeengine" --address "$(address 715)" --slots 4096 --queue 4096 --call-time 100ms --version-served ""
+start engine "$BIN/fakeengine" --address "$(address 715)" --slots 4096 --queue 4096 --call-time 100ms
 wait_ready "$(address 0)" || exit 1
 GOMAXPROCS=1 fleet_start "$AGENT"
 GOMAXPROCS=1 fleet_start entry-01
