Choose by smoothed load; count live entries once a second

Each request went through the whole list of hosts to divide its organisation's limit; the count is now kept for a second.

On that machine sending a claimed request took longer than the 100 ms that a repeat waits before it resolves the claim, and a key could end without a run (1 of 8 runs of the tests); the time now doubles with each change of the claim. Two tests relied on chance: one on an agent's state arriving after its link was announced, one on five random choices.

go test -race -count=1 firford/lib/requests: 8 of 8 runs pass.

--- a/lib/backends/policies.go
+++ b/lib/backends/policies.go
@@ -87,6 +87,10 @@
 // String implements Policy.
 func (TwoChoicesSmoothed) String() string { return "two_choices_smoothed" }
 
+// Default returns the policy that the bench's table supports; see
+// docs/notes/requests.md.
+func Default() Policy { return TwoChoicesSmoothed{} }
+
 // Policies returns all policies in the order of the bench's tables.
 func Policies() []Policy {
 	return []Policy{RoundRobin{}, AvailableLoad{}, TwoChoices{}, TwoChoicesByLoad{}, TwoChoicesSmoothed{}}
--- a/lib/requests/claimed.go
+++ b/lib/requests/claimed.go
@@ -21,7 +21,8 @@
 	// A repeat waits before it resolves a running claim. Resolving an attempt that
 	// its entry is about to send ends it, and two crossed requests that resolve
 	// each other's attempts would both go without an answer. Sending takes a few
-	// milliseconds.
+	// milliseconds, but more on an overloaded host, so the time doubles with each
+	// change of the claim.
 	resolveGrace = 100 * time.Millisecond
 )
 
@@ -173,7 +174,7 @@
 	if record.State == claimAnswered && record.Kept {
 		return replay(record, passed)
 	}
-	pause(ctx, resolveGrace)
+	pause(ctx, resolveGrace<<(maxClaimChanges-changes))
 	state, peer, done, err := dispatcher.resolve(ctx, record)
 	if err != nil {
 		return lostAnswer(record, err.Error())
--- a/lib/requests/failures_test.go
+++ b/lib/requests/failures_test.go
@@ -59,19 +59,19 @@
 	}
 	fleet.runners[0].stopAfter = 2
 	convey.Convey("The answer is whole", t, func() {
-		for index := range 5 {
+		resumed := 0
+		// The first choice is random; one stream in two begins at the failing agent.
+		for index := 0; resumed == 0; index++ {
 			body := fmt.Sprintf(`{"prompt":"%d","stream":true}`, index)
 			status, lines := fleet.post(body)
 			convey.So(status, convey.ShouldEqual, 200)
 			convey.So(lines[:len(lines)-1], convey.ShouldResemble, expectedStream(body, 6))
 			convey.So(lines[len(lines)-1], convey.ShouldContainSubstring, `"outcome":"answered","parts":6`)
+			resumed = fleet.runners[0].countRuns(body)
+			if resumed > 0 {
+				convey.So(fleet.runners[1].resumedAfter(2), convey.ShouldBeTrue)
+			}
 		}
-		resumed := 0
-		for _, attempt := range fleet.runners[1].attempts {
-			convey.So(attempt.after, convey.ShouldBeIn, 0, 2)
-			resumed += attempt.after / 2
-		}
-		convey.So(resumed, convey.ShouldBeGreaterThan, 0)
 	})
 	convey.Convey("Where nothing can continue it, the last line says so", t, func() {
 		fleet.runners[1].stopAfter = 2
--- a/lib/requests/fakes_test.go
+++ b/lib/requests/fakes_test.go
@@ -153,6 +153,18 @@
 	return runner.runs[body]
 }
 
+// resumedAfter reports whether an attempt began behind the part.
+func (runner *fakeRunner) resumedAfter(part int) bool {
+	runner.mutex.Lock()
+	defer runner.mutex.Unlock()
+	for _, attempt := range runner.attempts {
+		if attempt.after == part {
+			return true
+		}
+	}
+	return false
+}
+
 // fakeTable is a transactional table in memory. fault is asked before each
 // transaction what becomes of it.
 type fakeTable struct {
--- a/lib/requests/front.go
+++ b/lib/requests/front.go
@@ -79,6 +79,7 @@
 	Front struct {
 		dependencies Dependencies
 		limits       *limits
+		entries      *liveEntries
 		callers      *callerIndex
 		inProgress   atomic.Int64
 	}
@@ -103,7 +104,10 @@
 
 // NewFront returns a front for callers.
 func NewFront(dependencies Dependencies) *Front {
-	return &Front{dependencies: dependencies, limits: newLimits(), callers: &callerIndex{}}
+	return &Front{
+		dependencies: dependencies, limits: newLimits(), callers: &callerIndex{},
+		entries: &liveEntries{ask: dependencies.Entries},
+	}
 }
 
 // Serve answers callers on the listener. When the context ends it stops
@@ -165,7 +169,8 @@
 		})
 		return
 	}
-	entered, refusal := front.limits.enter(asked.organisation, front.dependencies.Entries(), time.Now())
+	now := time.Now()
+	entered, refusal := front.limits.enter(asked.organisation, front.entries.at(now), now)
 	if refusal != nil {
 		front.inProgress.Add(-1)
 		front.refuse(ctx, fasthttp.StatusTooManyRequests, *refusal)
--- a/lib/requests/front_test.go
+++ b/lib/requests/front_test.go
@@ -70,14 +70,12 @@
 		Router: links.NewRouter(), Logger: zap.NewNop(),
 	}
 	client := NewClient(options.Router)
-	fleet.agents = NewAgents(ctx, self, backends.TwoChoicesByLoad{}, options)
+	fleet.agents = NewAgents(ctx, self, backends.Default(), options)
 	claims := NewClaims(fleet.table)
 	go claims.Serve(ctx)
 	asserter := invariants.NewForTest(func(name invariants.Name) { t.Errorf("invariant %s violated", name) })
 	fleet.agents.Update(members, testSnapshot())
-	for _, member := range members {
-		waitFor(func() bool { return fleet.state(member.Name) == StateServing })
-	}
+	waitFor(func() bool { return fleet.agents.Serving("plant") == count })
 	fleet.front = NewFront(Dependencies{
 		Source:     fakeSource{testSnapshot()},
 		Dispatcher: NewDispatcher(fleet.agents, client, claims, asserter, zap.NewNop()),
@@ -98,12 +96,6 @@
 	}
 }
 
-func (fleet *testFleet) state(name string) string {
-	fleet.agents.mutex.Lock()
-	defer fleet.agents.mutex.Unlock()
-	return fleet.agents.views[name].state.State
-}
-
 func (fleet *testFleet) startAgent(ctx context.Context, t testing.TB, index int) hosts.Host {
 	t.Helper()
 	runner := newFakeRunner()
--- a/lib/requests/limits.go
+++ b/lib/requests/limits.go
@@ -8,7 +8,20 @@
 	"firford/lib/configurations"
 )
 
+// The number of live entries is asked for once in this time. Counting them goes
+// through the whole list of hosts, and the list itself lags by more.
+const entriesAge = time.Second
+
 type (
+	// liveEntries remembers the number of live entries for a while.
+	liveEntries struct {
+		ask func() int
+
+		mutex sync.Mutex
+		count int
+		until time.Time
+	}
+
 	// limits enforces this entry's share of organisations' limits. Only configured
 	// organisations get here, so their number is bounded.
 	limits struct {
@@ -22,6 +35,15 @@
 	}
 )
 
+func (entries *liveEntries) at(now time.Time) int {
+	entries.mutex.Lock()
+	defer entries.mutex.Unlock()
+	if now.After(entries.until) {
+		entries.count, entries.until = entries.ask(), now.Add(entriesAge)
+	}
+	return entries.count
+}
+
 func newLimits() *limits {
 	return &limits{usage: map[string]*organisationUsage{}}
 }
