Notice the end of a link and ask avoided senders when the others fail

With one host in ten lost, one of 243 hosts stayed at 398 of 400 chunks: a killed neighbour still counted as their holder, because its link's end was checked before the pool had let go of the link, and the live holders had each sent a corrupted chunk and so were avoided. The end of a link now compares the link, and a neighbour that keeps failing no longer keeps the host from asking avoided ones (the new case of TestWrongDigestAvoidsTheSender fails without it).

--- a/lib/transfers/announce.go
+++ b/lib/transfers/announce.go
@@ -21,6 +21,10 @@
 	// announceInterval bounds the messages to a neighbour. The first chunk after
 	// a pause is announced at once, which shortens the start of a transfer.
 	announceInterval = 250 * time.Millisecond
+	// Fewer new chunks than these wait longer, because on a slow link messages
+	// about single chunks cost more processor time than the chunks themselves.
+	announceBatch   = 4
+	announceMaximum = time.Second
 )
 
 type (
@@ -55,21 +59,21 @@
 	news.order = append(news.order, chunk)
 }
 
-// due reports whether the interval has passed and something is untold, and if
-// so starts the next interval.
-func (news *news) due(now time.Time, neighbours []hosts.Host) bool {
+// due reports whether neighbours are to be told now, and if so starts the next
+// interval. A host that has become whole does not wait for a full batch.
+func (news *news) due(now time.Time, linked map[string]*links.Link, whole bool) bool {
 	news.mutex.Lock()
 	defer news.mutex.Unlock()
-	if now.Sub(news.last) < announceInterval {
-		return false
+	untold := 0
+	for name := range linked {
+		untold = max(untold, len(news.order)-news.told[name])
 	}
-	for _, host := range neighbours {
-		if news.told[host.Name] < len(news.order) {
-			news.last = now
-			return true
-		}
+	waited := now.Sub(news.last)
+	if untold == 0 || waited < announceInterval || untold < announceBatch && waited < announceMaximum && !whole {
+		return false
 	}
-	return false
+	news.last = now
+	return true
 }
 
 // sender returns the lock under which messages to the neighbour are composed
@@ -137,7 +141,8 @@
 		delete(node.accepted, name)
 	}
 	node.mutex.Unlock()
-	if node.link(name) != nil {
+	// The pool may not have noticed the end of this link yet.
+	if current := node.link(name); current != nil && current != link {
 		return
 	}
 	for _, each := range node.running() {
@@ -233,18 +238,24 @@
 // announceAdded tells the neighbours what arrived since the last time. Each
 // neighbour has at most one sender, because a write to a silent one blocks.
 func (transfer *transfer) announceAdded(now time.Time) {
-	neighbours := transfer.near()
-	if !transfer.news.due(now, neighbours) {
+	// A dead neighbour must not make a message due for all others.
+	linked := map[string]*links.Link{}
+	for _, host := range transfer.near() {
+		if link := transfer.node.link(host.Name); link != nil {
+			linked[host.Name] = link
+		}
+	}
+	if !transfer.news.due(now, linked, transfer.progress().Whole) {
 		return
 	}
-	for _, host := range neighbours {
-		link, sender := transfer.node.link(host.Name), transfer.news.sender(host.Name)
-		if link == nil || !sender.TryLock() {
+	for name, link := range linked {
+		sender := transfer.news.sender(name)
+		if !sender.TryLock() {
 			continue
 		}
 		go func() {
 			defer sender.Unlock()
-			if unknown := transfer.unknownTo(host.Name, transfer.news.tell(host.Name)); len(unknown) > 0 {
+			if unknown := transfer.unknownTo(name, transfer.news.tell(name)); len(unknown) > 0 {
 				_ = link.Notify(methodHave, haveParams{Manifest: transfer.key, Added: unknown})
 			}
 		}()
--- a/lib/transfers/selections/choose.go
+++ b/lib/transfers/selections/choose.go
@@ -96,17 +96,6 @@
 	return all
 }
 
-// trusted returns the chunks that any neighbour holds that is not avoided.
-func (state State) trusted() weights.Set {
-	all := weights.NewSet(state.held.Size())
-	for _, name := range state.names {
-		if each := state.neighbours[name]; !each.avoided {
-			all = all.Union(each.has)
-		}
-	}
-	return all
-}
-
 // reliable returns the chunks that any neighbour holds that delivers. A
 // neighbour that announces chunks and never sends them must not keep this host
 // from the origin.
@@ -121,7 +110,7 @@
 }
 
 // askNeighbours asks for the rarest missing chunks. Avoided neighbours are
-// asked only for chunks that no other neighbour holds, so that one corrupted
+// asked only for chunks that no reliable neighbour holds, so that one corrupted
 // chunk can't leave a transfer incomplete.
 func (state State) askNeighbours(asks []Ask, now time.Time, random *rand.Rand) (State, []Ask) {
 	for state.free() > 0 {
@@ -133,7 +122,7 @@
 			if len(names) == 0 {
 				return state, asks
 			}
-			chunk, found = state.rarest(state.union(names).Minus(wanted).Minus(state.trusted()), random)
+			chunk, found = state.rarest(state.union(names).Minus(wanted).Minus(state.reliable()), random)
 		}
 		if !found {
 			return state, asks
--- a/lib/transfers/selections/selections_test.go
+++ b/lib/transfers/selections/selections_test.go
@@ -82,6 +82,15 @@
 			_, asks := step(state, holding("b", 1), time.Minute)
 			convey.So(asks, convey.ShouldContain, Ask{Chunk: 2, From: "a"})
 		})
+		convey.Convey("it is asked for a chunk whose other holder keeps failing", func() {
+			state, _ := step(state, holding("b", 1, 2), time.Minute)
+			for range unreliableFailures {
+				state, _ = step(state, Failed{Chunk: 1, From: "b", Reason: Broken}, time.Minute)
+				state, _ = step(state, Failed{Chunk: 2, From: "b", Reason: Broken}, time.Minute)
+			}
+			convey.So(state.Asked(1)+state.Asked(2), convey.ShouldEqual, 2)
+			convey.So(state.neighbours["a"].asked, convey.ShouldEqual, 2)
+		})
 	})
 }
 
