Spread origin reads in the order of the chunks and measure on the fake platform

The fake platform's origin divides its link among all requests at once, so 400 requests at the start would all end near the time of one copy. Hosts of rank zero now ask in the order of the chunks over 0.9 times that time (all of it under fewer_origin_bytes), so few requests are open at once. The bench uses the fake platform in place of its own origin.

--- a/cmd/bench/burst/drive.go
+++ b/cmd/bench/burst/drive.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"os"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -94,6 +93,9 @@
 	if err := driving.ready(ctx); err != nil {
 		return result{}, err
 	}
+	if err := driving.publish(ctx); err != nil {
+		return result{}, err
+	}
 	if err := driving.warm(ctx); err != nil {
 		return result{}, err
 	}
@@ -228,14 +230,6 @@
 	return read, json.Unmarshal(body, &read)
 }
 
-func (driving *driver) originBytes() (int64, error) {
-	code, body, err := driving.client.GetTimeout(nil, "http://"+driving.made.Origin+countersPath, callTimeout)
-	if err != nil || code != fasthttp.StatusOK {
-		return 0, fmt.Errorf("counters of the origin: %d %w", code, err)
-	}
-	return strconv.ParseInt(string(body), 10, 64)
-}
-
 func (driving *driver) summarise(started time.Time, all map[string]status) result {
 	made := driving.made
 	row := result{
--- a/cmd/bench/burst/plan.go
+++ b/cmd/bench/burst/plan.go
@@ -52,7 +52,6 @@
 	// Command holds the subcommands of the measurement.
 	Command struct {
 		Plan    *PlanCommand    `arg:"subcommand:plan" help:"write the plan of a run and the list of its faults"`
-		Origin  *OriginCommand  `arg:"subcommand:origin" help:"run the weight origin"`
 		Host    *HostCommand    `arg:"subcommand:host" help:"run one host"`
 		Drive   *DriveCommand   `arg:"subcommand:drive" help:"start the burst and measure it"`
 		Table   *TableCommand   `arg:"subcommand:table" help:"print and save the results of several runs"`
@@ -124,6 +123,7 @@
 	if err := os.WriteFile(command.Directory+"/faults.txt", faults.Bytes(), 0o644); err != nil {
 		return fmt.Errorf("write faults: %w", err)
 	}
+	fmt.Println("origin", made.Origin, made.OriginRate)
 	for _, host := range made.Hosts {
 		fmt.Println(host.Name, made.Admins[host.Name])
 	}
--- a/lib/transfers/selections/choose.go
+++ b/lib/transfers/selections/choose.go
@@ -11,18 +11,15 @@
 // originDeadline returns when the host may ask the origin for the chunk, as
 // long as no neighbour holds it. The origin serves rank zero within the time of
 // one copy, and each later rank has one step to fetch what the ranks before it
-// did not.
+// did not. Rank zero hosts ask in the order of the chunks: an origin that
+// divides its link among all requests at once would otherwise finish the first
+// chunk hardly earlier than the last.
 func (state State) originDeadline(chunk int) time.Time {
-	span := state.settings.OriginTime
-	switch rank := state.ranks[chunk]; {
-	case rank == 0 && !state.settings.Paced:
-		return state.started
-	case rank == 0:
-		place, _ := slices.BinarySearch(state.originOrder, chunk)
-		return state.started.Add(span * time.Duration(place) / time.Duration(len(state.originOrder)))
-	default:
-		return state.started.Add(span + state.settings.RankStep*time.Duration(rank))
+	rank := state.ranks[chunk]
+	if rank == 0 {
+		return state.started.Add(state.settings.Spread * time.Duration(chunk) / time.Duration(len(state.ranks)))
 	}
+	return state.started.Add(state.settings.OriginTime + state.settings.RankStep*time.Duration(rank))
 }
 
 // OriginAllowed reports whether the policy lets this host read the chunk from
--- a/lib/transfers/selections/selections_test.go
+++ b/lib/transfers/selections/selections_test.go
@@ -142,9 +142,9 @@
 		_, asks = step(state, Tick{}, newsPatience)
 		convey.So(len(asks), convey.ShouldEqual, testSettings.OriginWindow)
 	})
-	convey.Convey("A paced host spreads its reads over the time of one copy", t, func() {
+	convey.Convey("Rank zero reads are spread in the order of the chunks", t, func() {
 		settings := testSettings
-		settings.Paced, settings.OriginWindow = true, testChunks
+		settings.Spread, settings.OriginWindow = testOriginTime, testChunks
 		state := New(settings, ranked(0), weights.NewSet(testChunks), nil, testStart)
 		_, asks := step(state, Tick{}, testOriginTime/2)
 		convey.So(len(asks), convey.ShouldEqual, testChunks/2+1)
--- a/lib/transfers/selections/state.go
+++ b/lib/transfers/selections/state.go
@@ -52,8 +52,9 @@
 		PerNeighbour int
 		OriginWindow int
 		OriginTime   time.Duration
-		// Paced spreads the host's own origin requests over OriginTime.
-		Paced bool
+		// Spread is the time over which the reads of all rank zero hosts together
+		// are spread, in the order of the chunks.
+		Spread time.Duration
 		// RankStep is the time between the deadlines of two ranks, the first of
 		// which after rank zero ends RankStep after OriginTime.
 		RankStep time.Duration
@@ -75,7 +76,6 @@
 		latencyS       float64
 		originFailures int
 		originRetry    time.Time
-		originOrder    []int
 	}
 
 	neighbour struct {
@@ -111,11 +111,6 @@
 	for _, name := range state.names {
 		state.neighbours[name] = neighbour{has: weights.NewSet(len(ranks))}
 	}
-	for chunk, rank := range ranks {
-		if rank == 0 {
-			state.originOrder = append(state.originOrder, chunk)
-		}
-	}
 	return state
 }
 
--- a/lib/transfers/transfer.go
+++ b/lib/transfers/transfer.go
@@ -28,6 +28,9 @@
 	// divided by this. With the whole time in between, a chunk whose first two
 	// ranks died reached 270 hosts at 1.53 instead of below 1.4 times the limit.
 	hastySteps = 4
+	// Asking a little faster than the origin sends keeps its link busy although
+	// the hosts do not start at the same moment.
+	hastySpread = 0.9
 
 	// Without a configured origin rate, later ranks wait for this time.
 	unknownOriginTime = 30 * time.Second
@@ -103,11 +106,12 @@
 		PerNeighbour: perNeighbour,
 		OriginWindow: originWindow,
 		OriginTime:   span,
-		Paced:        fewer,
+		Spread:       span,
 		RankStep:     span,
 	}
 	if !fewer {
 		settings.RankStep = span / hastySteps
+		settings.Spread = time.Duration(float64(span) * hastySpread)
 	}
 	return settings
 }
--- a/scripts/bench_burst.sh
+++ b/scripts/bench_burst.sh
@@ -23,6 +23,7 @@
 
 mkdir -p out/bin "$OUT"
 go build -o "$BENCH" firford/cmd/bench
+go build -o out/bin/fakeplatform firford/cmd/fakeplatform
 source scripts/processes.sh
 export GOMAXPROCS=1
 
@@ -39,13 +40,16 @@
 # measure STRATEGY W starts the processes of one run, drives it and stops them.
 measure() {
   RUN=$(mktemp -d "$OUT/$NAME.$1.XXXXXX")
-  local name address
+  local name address rate
   "$BENCH" burst plan --directory "$RUN" --hosts "$HOSTS" --faults "$FAULTS" --strategy "$1" \
     --policy "$POLICY" --seed "$SEED" --w "$2" --port "$PORT" >"$RUN/hosts.txt"
   PROCESS_IDS=()
-  start origin "$BENCH" burst origin --directory "$RUN"
-  while read -r name address; do
-    start "$name" "$BENCH" burst host --directory "$RUN" --name "$name"
+  while read -r name address rate; do
+    if [ "$name" = origin ]; then
+      start origin out/bin/fakeplatform --listen "$address" --origin-bytes-per-s "$rate"
+    else
+      start "$name" "$BENCH" burst host --directory "$RUN" --name "$name"
+    fi
   done <"$RUN/hosts.txt"
   apply_faults >"$RUN/faults.log" 2>&1 &
   PROCESS_IDS+=($!)
