--- a/lib/transfers/selections/choose.go
+++ b/lib/transfers/selections/choose.go
@@ -9,21 +9,17 @@
 )
 
 // originDeadline returns when the host may ask the origin for the chunk, as
-// long as no neighbour holds it. Rank r waits r+1 times the time that the
-// origin needs for one copy; by then rank r-1 has the chunk unless it failed.
+// long as no neighbour holds it. The origin serves rank zero within the time of
+// one copy, and each later rank has one step to fetch what the ranks before it
+// did not. Rank zero hosts ask in the order of the chunks: an origin that
+// divides its link among all requests at once would otherwise finish the first
+// chunk hardly earlier than the last.
 func (state State) originDeadline(chunk int) time.Time {
-	span := state.settings.OriginTime
-	switch rank := state.ranks[chunk]; {
-	case rank == 0 && !state.settings.Paced:
-		return state.started
-	case rank == 0:
-		place, _ := slices.BinarySearch(state.originOrder, chunk)
-		return state.started.Add(span * time.Duration(place) / time.Duration(len(state.originOrder)))
-	case rank == 1 && state.settings.EarlySecond:
-		return state.started.Add(span * 3 / 2)
-	default:
-		return state.started.Add(span * time.Duration(rank+1))
+	rank := state.ranks[chunk]
+	if rank == 0 {
+		return state.started.Add(state.settings.Spread * time.Duration(chunk) / time.Duration(len(state.ranks)))
 	}
+	return state.started.Add(state.settings.OriginTime + state.settings.RankStep*time.Duration(rank))
 }
 
 // OriginAllowed reports whether the policy lets this host read the chunk from
@@ -97,17 +93,6 @@
 	return all
 }
 
-// trusted returns the chunks that any neighbour holds that is not avoided.
-func (state State) trusted() weights.Set {
-	all := weights.NewSet(state.held.Size())
-	for _, name := range state.names {
-		if each := state.neighbours[name]; !each.avoided {
-			all = all.Union(each.has)
-		}
-	}
-	return all
-}
-
 // reliable returns the chunks that any neighbour holds that delivers. A
 // neighbour that announces chunks and never sends them must not keep this host
 // from the origin.
@@ -122,7 +107,7 @@
 }
 
 // askNeighbours asks for the rarest missing chunks. Avoided neighbours are
-// asked only for chunks that no other neighbour holds, so that one corrupted
+// asked only for chunks that no reliable neighbour holds, so that one corrupted
 // chunk can't leave a transfer incomplete.
 func (state State) askNeighbours(asks []Ask, now time.Time, random *rand.Rand) (State, []Ask) {
 	for state.free() > 0 {
@@ -134,7 +119,7 @@
 			if len(names) == 0 {
 				return state, asks
 			}
-			chunk, found = state.rarest(state.union(names).Minus(wanted).Minus(state.trusted()), random)
+			chunk, found = state.rarest(state.union(names).Minus(wanted).Minus(state.reliable()), random)
 		}
 		if !found {
 			return state, asks
