--- a/lib/transfers/selections/selections_test.go
+++ b/lib/transfers/selections/selections_test.go
@@ -20,7 +20,7 @@
 
 var (
 	testStart    = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
-	testSettings = Settings{Window: 4, PerNeighbour: 2, OriginWindow: 2, OriginTime: testOriginTime}
+	testSettings = Settings{Window: 4, PerNeighbour: 2, OriginWindow: 2, OriginTime: testOriginTime, RankStep: testOriginTime}
 )
 
 func ranked(rank int) []int {
@@ -82,6 +82,15 @@
 			_, asks := step(state, holding("b", 1), time.Minute)
 			convey.So(asks, convey.ShouldContain, Ask{Chunk: 2, From: "a"})
 		})
+		convey.Convey("it is asked for a chunk whose other holder keeps failing", func() {
+			state, _ := step(state, holding("b", 1, 2), time.Minute)
+			for range unreliableFailures {
+				state, _ = step(state, Failed{Chunk: 1, From: "b", Reason: Broken}, time.Minute)
+				state, _ = step(state, Failed{Chunk: 2, From: "b", Reason: Broken}, time.Minute)
+			}
+			convey.So(state.Asked(1)+state.Asked(2), convey.ShouldEqual, 2)
+			convey.So(state.neighbours["a"].asked, convey.ShouldEqual, 2)
+		})
 	})
 }
 
@@ -133,9 +142,9 @@
 		_, asks = step(state, Tick{}, newsPatience)
 		convey.So(len(asks), convey.ShouldEqual, testSettings.OriginWindow)
 	})
-	convey.Convey("A paced host spreads its reads over the time of one copy", t, func() {
+	convey.Convey("Rank zero reads are spread in the order of the chunks", t, func() {
 		settings := testSettings
-		settings.Paced, settings.OriginWindow = true, testChunks
+		settings.Spread, settings.OriginWindow = testOriginTime, testChunks
 		state := New(settings, ranked(0), weights.NewSet(testChunks), nil, testStart)
 		_, asks := step(state, Tick{}, testOriginTime/2)
 		convey.So(len(asks), convey.ShouldEqual, testChunks/2+1)
@@ -199,6 +208,14 @@
 	return all
 }
 
+// originAllowed is the rule of the policy, written apart from the code.
+func originAllowed(rank int) time.Time {
+	if rank == 0 {
+		return testStart
+	}
+	return testStart.Add(testOriginTime * time.Duration(rank+1))
+}
+
 // step delivers a message and checks the requests that follow from it.
 func (all *swarm) step(t *rapid.T, name string, message Message) {
 	if !all.live[name] {
@@ -213,7 +230,7 @@
 			t.Fatalf("%s asks for chunk %d that it holds", name, ask.Chunk)
 		case state.Asked(ask.Chunk) > 2:
 			t.Fatalf("%s has %d requests for chunk %d", name, state.Asked(ask.Chunk), ask.Chunk)
-		case ask.From == Origin && !state.OriginAllowed(ask.Chunk, all.now):
+		case ask.From == Origin && all.now.Before(originAllowed(state.ranks[ask.Chunk])):
 			t.Fatalf("%s asks the origin for chunk %d before its deadline", name, ask.Chunk)
 		case ask.From == Origin && state.Reliable(ask.Chunk):
 			t.Fatalf("%s asks the origin for chunk %d that a neighbour holds", name, ask.Chunk)
