--- a/lib/requests/failures_test.go
+++ b/lib/requests/failures_test.go
@@ -218,3 +218,28 @@
 		convey.So(totalRuns(fleet, plainBody), convey.ShouldEqual, 1)
 	})
 }
+
+// Guards against claims of refused requests that stay and make every repeat of
+// their key ask an agent.
+func TestUnusedClaimIsReleased(t *testing.T) {
+	fleet := startFleet(t, 1)
+	convey.Convey("A claim whose writes were all lost is refused as not run and then deleted", t, func() {
+		lost := maxWriteAttempts
+		fleet.table.setFault(func() tableFault {
+			if lost == 0 {
+				return faultNone
+			}
+			lost--
+			return faultLostAfter
+		})
+		status, lines := fleet.post(plainBody, "Idempotent", "false", "Request-Key", "k")
+		convey.So(status, convey.ShouldEqual, 503)
+		convey.So(lines[0], convey.ShouldContainSubstring, CodeStoreUnavailable)
+		convey.So(totalRuns(fleet, plainBody), convey.ShouldEqual, 0)
+		waitFor(func() bool {
+			fleet.table.mutex.Lock()
+			defer fleet.table.mutex.Unlock()
+			return len(fleet.table.rows) == 0
+		})
+	})
+}
