--- a/Makefile
+++ b/Makefile
@@ -7,8 +7,7 @@
 GO_FILES = $$(git ls-files --cached --others --exclude-standard '*.go' | grep -v '\.pb\.go$$')
 
 # No job is named after a file that it makes.
-.PHONY: help build demo soak bench_burst compare_bursts bench_requests bench_config test format format-check lint vet unit race clean
-
+.PHONY: help build demo soak bench_burst compare_bursts bench_requests bench_config bench_control test format format-check lint vet unit race clean
 
 help: ## List the jobs
 	@grep -E '^[a-z_-]+:.*##' Makefile | sed 's/:.*##/:/'
@@ -38,8 +37,8 @@
 unit: ## All tests without the race detector
 	@go test work
 
-demo: build ## Push a version to a small fleet on stand-ins while callers keep asking
-	@scripts/demo.sh
+demo: build ## Push a version to a small fleet on stand-ins while callers keep asking: KILL
+	@KILL=$(KILL) scripts/demo.sh
 
 bench_burst: ## Measure a version's distribution: HOSTS, FAULTS, SEED, W, POLICY, STRATEGIES
 	@HOSTS=$(HOSTS) FAULTS=$(FAULTS) SEED=$(SEED) W=$(W) POLICY=$(POLICY) STRATEGIES="$(STRATEGIES)" scripts/bench_burst.sh
@@ -50,8 +49,11 @@
 bench_requests: build ## Measure the request path: policies, goodput, added latency, requests per second
 	@scripts/bench_requests.sh
 
-clean: ## Remove everything that the build made
-	@rm -rf $(OUT)
-
 bench_config: build ## Time until configuration changes are in force, and what they cost
 	@scripts/bench_config.sh
+
+bench_control: build ## What idle entries and agents cost, by their numbers: SIZES
+	@scripts/bench_control.sh
+
+clean: ## Remove everything that the build made
+	@rm -rf $(OUT)
--- a/lib/admissions/ledger.go
+++ b/lib/admissions/ledger.go
@@ -64,7 +64,9 @@
 
 // refuse records that the attempt never runs, and returns the refusal.
 func (ledger *ledger) refuse(id, code, message string, retryAt time.Time) requests.Outcome {
-	ledger.checker.Check(!ledger.executed.has(id), invariants.TrueRefusal, zap.String("attempt_id", id), zap.String("code", code))
+	if ledger.executed.has(id) {
+		ledger.checker.Check(false, invariants.TrueRefusal, zap.String("attempt_id", id), zap.String("code", code))
+	}
 	ledger.refused.add(id)
 	return requests.NotRun{Code: code, Message: message, RetryAt: retryAt}
 }
@@ -91,7 +93,7 @@
 		return ledger.refuse(id, requests.CodeLimitReached, "too many requests in flight", now.Add(ledger.span(ledger.estimates.service)))
 	}
 	if ledger.full(request) && ledger.flows.victim(owner) == nil {
-		return ledger.refuse(id, requests.CodeOverloaded, "the queue is full", now.Add(ledger.span(owner.demand()*owner.weight/float64(ledger.slots))))
+		return ledger.refuse(id, requests.CodeOverloaded, "the queue is full", now.Add(ledger.span(owner.work()/float64(ledger.slots))))
 	}
 	if !owner.limiter.AllowN(now, 1) {
 		return ledger.refuse(id, requests.CodeLimitReached, "too many requests per second", now.Add(ledger.span(1/float64(owner.limiter.Limit()))))
@@ -136,7 +138,7 @@
 		followed: now,
 	}
 	ledger.attempts[request.AttemptID] = admitted
-	ledger.flows.push(admitted)
+	ledger.flows.push(now, admitted)
 	return admitted, nil
 }
 
@@ -148,7 +150,7 @@
 		return nil
 	}
 	wait := 0.0
-	if ledger.running >= ledger.slots {
+	if ledger.running >= ledger.slots || len(owner.waiting) > 0 {
 		wait = ledger.flows.wait(owner, request.Priority, ledger.slots, ledger.estimates.service)
 	}
 	late := wait + seconds - request.Deadline.Sub(now).Seconds()
@@ -162,7 +164,7 @@
 // can't meet their deadline any more are refused.
 func (ledger *ledger) next(now time.Time) *attempt {
 	for ledger.running < ledger.slots {
-		chosen := ledger.flows.pop()
+		chosen := ledger.flows.pop(now, ledger.slots)
 		if chosen == nil {
 			return nil
 		}
@@ -183,21 +185,29 @@
 }
 
 func (ledger *ledger) start(now time.Time, chosen *attempt) {
-	ledger.checker.Check(ledger.gate.closed() == "", invariants.NoWorkLeaving, zap.String("attempt_id", chosen.request.AttemptID))
-	ledger.checker.Check(!ledger.refused.has(chosen.request.AttemptID), invariants.TrueRefusal, zap.String("attempt_id", chosen.request.AttemptID))
+	// The evidence is built only for a violation, which saves two allocations.
+	id := chosen.request.AttemptID
+	if code := ledger.gate.closed(); code != "" {
+		ledger.checker.Check(false, invariants.NoWorkLeaving, zap.String("attempt_id", id), zap.String("code", code))
+	}
+	if ledger.refused.has(id) {
+		ledger.checker.Check(false, invariants.TrueRefusal, zap.String("attempt_id", id))
+	}
 	chosen.phase = phaseRunning
 	chosen.started = now
 	chosen.epoch = ledger.gate.epoch
-	chosen.flow.running++
+	chosen.flow.occupy(now, 1, chosen.seconds)
 	ledger.running++
-	ledger.executed.add(chosen.request.AttemptID)
+	ledger.executed.add(id)
 }
 
 // hand records that the attempt is given to the backend server.
 func (ledger *ledger) hand(chosen *attempt) {
 	chosen.handed++
-	ledger.checker.Check(chosen.handed == 1 || chosen.request.Idempotent, invariants.AtMostOnce,
-		zap.String("attempt_id", chosen.request.AttemptID), zap.Int("handed", chosen.handed))
+	if chosen.handed > 1 && !chosen.request.Idempotent {
+		ledger.checker.Check(false, invariants.AtMostOnce,
+			zap.String("attempt_id", chosen.request.AttemptID), zap.Int("handed", chosen.handed))
+	}
 }
 
 // release frees the attempt's slot and charges its organisation with the time
@@ -208,7 +218,7 @@
 	}
 	ended.released = true
 	ledger.running--
-	ended.flow.running--
+	ended.flow.occupy(now, -1, ended.seconds)
 	ledger.flows.settle(ended, now.Sub(ended.started).Seconds())
 }
 
@@ -262,7 +272,7 @@
 
 // drop refuses a waiting attempt.
 func (ledger *ledger) drop(now time.Time, waiting *attempt, code, message string) {
-	ledger.flows.remove(waiting)
+	ledger.flows.remove(now, waiting)
 	retryAt := now.Add(ledger.span(ledger.estimates.service))
 	ledger.finish(now, waiting, ledger.refuse(waiting.request.AttemptID, code, message, retryAt))
 }
