--- a/lib/requests/failures_test.go
+++ b/lib/requests/failures_test.go
@@ -243,3 +243,23 @@
 		})
 	})
 }
+
+// Guards against a repeat that can't ask the agent of its claim, because that
+// agent is not in the subset of the repeat's entry.
+func TestReachOutsideTheSubset(t *testing.T) {
+	fleet := startFleet(t, 1)
+	convey.Convey("A listed agent is reached over a link of its own, another is not", t, func() {
+		fleet.agents.mutex.Lock()
+		delete(fleet.agents.views, "agent-0")
+		fleet.agents.mutex.Unlock()
+		peer, done, err := fleet.agents.reach(context.Background(), "agent-0")
+		convey.So(err, convey.ShouldBeNil)
+		state, err := Resolve(context.Background(), peer, NewID(), "i1")
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(state, convey.ShouldEqual, AttemptNotRun)
+		done()
+		<-peer.Done()
+		_, _, err = fleet.agents.reach(context.Background(), "agent-9")
+		convey.So(err, convey.ShouldNotBeNil)
+	})
+}
