Write what other hosts need in two transactions for each host

Cause: each change of an agent's state or reason cost a write to the table, and a rollout over many hosts would have exceeded its limit. An engine that refused the token while the table was out also got the order again without any pause.

Change: the host record holds only the state and version that other agents decide by, and is written in the transactions that take and release the slot. A refused token counts as not held until a higher one is taken, and 200 ms pass between two orders whatever ended the first.

--- a/lib/rollouts/board.go
+++ b/lib/rollouts/board.go
@@ -48,15 +48,13 @@
 		RemainingMS int64  `json:"remaining_ms,omitempty"`
 	}
 
-	// HostRecord is what an agent last wrote of its engine. Version is empty
-	// unless the engine serves one that is admitted.
+	// HostRecord is what an agent last wrote of its engine: only what the other
+	// agents decide by, so that few changes cost a write. Version is empty unless
+	// the engine serves one that is admitted.
 	HostRecord struct {
 		Host    string        `json:"host"`
-		Token   int64         `json:"token"`
 		State   HostStateName `json:"state"`
 		Version string        `json:"version,omitempty"`
-		Target  string        `json:"target,omitempty"`
-		Reason  string        `json:"reason,omitempty"`
 	}
 
 	// Board is the last known content of a deployment's rows. It is immutable.
--- a/lib/rollouts/control.go
+++ b/lib/rollouts/control.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"firford/lib/configurations"
+	"firford/lib/hosts"
 	"firford/lib/platform"
 	"firford/lib/weights"
 )
@@ -17,6 +18,10 @@
 // All agents of a deployment together read the board at most this often.
 const boardReadsPerSecond = 200
 
+// loadPause is the shortest time between an order that failed or was cancelled
+// and the next one, whatever the reason.
+const loadPause = 200 * time.Millisecond
+
 // errStaleStatus tells that a status was read before a pause of the process.
 var errStaleStatus = errors.New("the engine's status is older than the pause limit")
 
@@ -145,11 +150,11 @@
 	control := &loader.control
 	version, known := view.Plan.VersionOf(name)
 	manifest, whole := loader.prefetch.whole(name)
-	if !known || !whole {
+	token := loader.fence.held()
+	if !known || !whole || token == 0 || view.Now.Before(control.loadAt) {
 		return
 	}
 	control.orders++
-	token := loader.fence.held()
 	ctx, cancel := context.WithCancel(ctx)
 	control.running = &load{
 		loader: loader, version: version, manifest: manifest,
@@ -205,16 +210,16 @@
 	control.running = nil
 	loader.noteLoad(ended, err)
 	loader.readBack(ctx)
+	if err != nil {
+		control.loadAt = time.Now().Add(loadPause)
+	}
 	switch {
 	case err == nil:
 		control.attempts = control.attempts.WithSuccess(ended.version.Name)
 	case errors.Is(err, ErrFenced):
 		return err
 	case errors.Is(err, ErrStaleToken):
-		err := loader.storeResult(loader.fence.outbid(ctx))
-		if errors.Is(err, ErrFenced) {
-			return err
-		}
+		loader.fence.refuse()
 	case errors.Is(err, context.Canceled) || errors.Is(err, errSlotLost):
 	case errors.Is(err, errChunkMissing):
 		loader.prefetch.drop(ended.version.Name)
@@ -235,22 +240,67 @@
 	loader.dependencies.Logger.Info("load completed", fields...)
 }
 
-// publish records the state of this host for operators, and in the table for
-// the other agents when it has changed.
+// takeSlot tries the free slots and records in the same transaction that this
+// host is loading.
+func (loader *Loader) takeSlot(ctx context.Context, view View, free []int) error {
+	control := &loader.control
+	if view.Now.Before(control.storeRetryAt) {
+		return nil
+	}
+	offset := 0
+	for index, host := range hosts.Rank("canary/"+view.Plan.Deployment.Name, view.Members) {
+		if host.Name == view.Self {
+			offset = index
+		}
+	}
+	view.HasSlot = true
+	record := loader.record(view)
+	err := control.slots.take(ctx, view, free, offset, record.write(view.Plan))
+	loader.noteSlot()
+	switch {
+	case err == nil:
+		control.written = record
+		nudge(loader.wake)
+	case errors.Is(err, errSlotTaken):
+		control.boardAt = time.Time{}
+		return nil
+	}
+	return loader.storeResult(err)
+}
+
+// releaseSlot frees the slot and records what the engine serves.
+func (loader *Loader) releaseSlot(ctx context.Context, view View) error {
+	control := &loader.control
+	if view.Now.Before(control.storeRetryAt) {
+		return nil
+	}
+	view.HasSlot = false
+	record := loader.record(view)
+	err := control.slots.release(ctx, record.write(view.Plan))
+	loader.noteSlot()
+	if err == nil {
+		control.written = record
+	}
+	if errors.Is(err, errSlotTaken) {
+		return nil
+	}
+	return loader.storeResult(err)
+}
+
+// publish keeps the state for operators, and writes the host's record to the
+// table when it has changed.
 func (loader *Loader) publish(ctx context.Context, view View, decision Decision) error {
 	control := &loader.control
-	record := loader.record(view, decision)
-	loader.setState(view, record)
-	now := time.Now()
-	if record == control.written || record.Token == 0 || now.Before(control.storeRetryAt) ||
+	record := loader.record(view)
+	loader.setState(view, record, decision)
+	if record == control.written || !view.HasToken || time.Now().Before(control.storeRetryAt) ||
 		!view.Plan.Configured || view.Plan.Service() {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, loader.dependencies.Settings.StoreTimeout)
 	defer cancel()
 	_, err := loader.dependencies.Table.Transact(ctx,
-		[]platform.Condition{loader.fence.condition()},
-		[]platform.Write{{Key: hostKey(view.Plan.Deployment.Name, record.Host), Value: mustEncode(record)}})
+		[]platform.Condition{loader.fence.condition()}, []platform.Write{record.write(view.Plan)})
 	var conflict *platform.ConflictError
 	if errors.As(err, &conflict) && loader.fence.lost(conflict) {
 		return ErrFenced
@@ -261,26 +311,21 @@
 	return nil
 }
 
-func (loader *Loader) record(view View, decision Decision) HostRecord {
-	record := HostRecord{
-		Host: view.Self, Token: loader.fence.held(), State: StateWaiting,
-		Version: view.admitted(), Target: view.Target(),
-	}
-	if stay, staying := decision.(Stay); staying {
-		record.Reason = stay.Reason
-	}
-	exhausted := view.Attempts.Exhausted(view.Plan.Version)
+func (record HostRecord) write(plan Plan) platform.Write {
+	return platform.Write{Key: hostKey(plan.Deployment.Name, record.Host), Value: mustEncode(record)}
+}
+
+func (loader *Loader) record(view View) HostRecord {
+	record := HostRecord{Host: view.Self, State: StateWaiting, Version: view.admitted()}
 	switch {
 	case loader.control.running != nil || view.HasSlot:
 		record.State = StateLoading
+		record.Version = ""
 	case record.Version != "":
 		record.State = StateServing
-	case exhausted != "":
+	case view.Attempts.Exhausted(view.Plan.Version) != "":
 		record.State = StateFailed
 	}
-	if exhausted != "" {
-		record.Reason = "gave up version " + view.Plan.Version + ": " + exhausted
-	}
 	return record
 }
 
--- a/lib/rollouts/fakes_test.go
+++ b/lib/rollouts/fakes_test.go
@@ -380,6 +380,13 @@
 	change(table)
 }
 
+// writes returns the number of transactions that took effect.
+func (table *fakeTable) writes() int64 {
+	table.mutex.Lock()
+	defer table.mutex.Unlock()
+	return table.revision
+}
+
 func (table *fakeTable) isOut() bool {
 	table.mutex.Lock()
 	defer table.mutex.Unlock()
--- a/lib/rollouts/fence.go
+++ b/lib/rollouts/fence.go
@@ -47,6 +47,7 @@
 		token    int64
 		revision int64
 		step     int64
+		refused  bool
 	}
 )
 
@@ -56,10 +57,14 @@
 	return &fence{dependencies: dependencies, incarnation: hex.EncodeToString(nonce), guard: guard, step: 1}
 }
 
-// held returns the token, or zero before it was taken.
+// held returns the token, or zero before it was taken and after the engine has
+// refused it.
 func (fence *fence) held() int64 {
 	fence.mutex.Lock()
 	defer fence.mutex.Unlock()
+	if fence.refused {
+		return 0
+	}
 	return fence.token
 }
 
@@ -96,10 +101,13 @@
 	if err != nil {
 		return err
 	}
-	if fence.held() != 0 && record.Incarnation != fence.incarnation {
+	fence.mutex.Lock()
+	taken, step := fence.token != 0, fence.step
+	fence.mutex.Unlock()
+	if taken && record.Incarnation != fence.incarnation {
 		return ErrFenced
 	}
-	next := fenceRecord{Token: record.Token + fence.step, Incarnation: fence.incarnation}
+	next := fenceRecord{Token: record.Token + step, Incarnation: fence.incarnation}
 	ctx, cancel := context.WithTimeout(ctx, fence.dependencies.Settings.StoreTimeout)
 	defer cancel()
 	revision, err := fence.dependencies.Table.Transact(ctx,
@@ -117,18 +125,18 @@
 	defer fence.mutex.Unlock()
 	fence.dependencies.Invariants.Check(token > fence.token, invariants.FenceForward,
 		zap.Int64("token", token), zap.Int64("previous", fence.token))
-	fence.token, fence.revision = token, revision
+	fence.token, fence.revision, fence.refused = token, revision, false
 	fence.guard.verified(began, time.Now())
 }
 
-// outbid takes a higher token after the engine has refused the present one
-// although no later agent exists, for example because the table was restored
-// from an older state. The steps double, so that a lost counter is passed soon.
-func (fence *fence) outbid(ctx context.Context) error {
+// refuse notes that the engine has refused the token although no later agent is
+// known, for example because the table was restored from an older state. The
+// next token is further away each time, so that a lost counter is passed soon.
+func (fence *fence) refuse() {
 	fence.mutex.Lock()
+	defer fence.mutex.Unlock()
+	fence.refused = true
 	fence.step = min(fence.step*2, 1<<40)
-	fence.mutex.Unlock()
-	return fence.take(ctx)
 }
 
 // verify returns ErrFenced if a later agent has taken the token. While the table
--- a/lib/rollouts/loader.go
+++ b/lib/rollouts/loader.go
@@ -100,6 +100,7 @@
 		orders        int
 		written       HostRecord
 		verifyAt      time.Time
+		loadAt        time.Time
 		storeRetryAt  time.Time
 		changeRetryAt time.Time
 		storeBackoff  *backoff.ExponentialBackOff
@@ -258,7 +259,7 @@
 	if err != nil {
 		loader.dependencies.Logger.Info("step not completed", zap.Error(err))
 	}
-	return loader.publish(ctx, view, decision)
+	return loader.publish(ctx, loader.view(), decision)
 }
 
 // missing returns the versions that this host has to fetch.
@@ -312,40 +313,16 @@
 
 // act carries out a decision.
 func (loader *Loader) act(ctx context.Context, view View, decision Decision) error {
-	control := &loader.control
 	switch decision := decision.(type) {
 	case Stay:
 		return nil
 	case Take:
-		if view.Now.Before(control.storeRetryAt) {
-			return nil
-		}
-		offset := 0
-		for index, host := range hosts.Rank("canary/"+view.Plan.Deployment.Name, view.Members) {
-			if host.Name == view.Self {
-				offset = index
-			}
-		}
-		err := control.slots.take(ctx, view.Board, view.Plan, view.Target(), decision.Slots, offset)
-		if errors.Is(err, errSlotTaken) {
-			control.boardAt = time.Time{}
-			return nil
-		}
-		if err == nil {
-			loader.noteSlot()
-			nudge(loader.wake)
-		}
-		return loader.storeResult(err)
+		return loader.takeSlot(ctx, view, decision.Slots)
 	case Load:
 		loader.startLoad(ctx, view, decision.Version)
 		return nil
 	case Release:
-		if view.Now.Before(control.storeRetryAt) {
-			return nil
-		}
-		err := loader.storeResult(control.slots.release(ctx))
-		loader.noteSlot()
-		return err
+		return loader.releaseSlot(ctx, view)
 	case StopRollout:
 		rollout := view.Plan.Rollout
 		rollout.State, rollout.Reason = configurations.RolloutStopped, decision.Reason
--- a/lib/rollouts/loader_test.go
+++ b/lib/rollouts/loader_test.go
@@ -46,6 +46,7 @@
 		convey.Convey("A fleet without versions loads the routed one, then rolls out the next", t, func() {
 			settle(time.Minute, agents...)
 			convey.So(servedVersions(agents), convey.ShouldResemble, map[string]int{"v1": 6})
+			before := fleet.table.writes()
 			fleet.rollout(configurations.RolloutRunning)
 			least := 6
 			for range 600 {
@@ -56,6 +57,7 @@
 			convey.So(servedVersions(agents), convey.ShouldResemble, map[string]int{"v2": 6})
 			convey.So(least, convey.ShouldBeGreaterThanOrEqualTo, 4)
 			convey.So(fleet.rolloutState(), convey.ShouldEqual, configurations.RolloutDone)
+			convey.So(fleet.table.writes()-before, convey.ShouldBeLessThanOrEqualTo, 3*6)
 			convey.So(fleet.routingVersion(), convey.ShouldEqual, "v2")
 			convey.So(fleet.violations(), convey.ShouldBeEmpty)
 
--- a/lib/rollouts/slots.go
+++ b/lib/rollouts/slots.go
@@ -44,13 +44,14 @@
 	return slots.held.has && now.Before(slots.held.validUntil)
 }
 
-func (slots *slots) write(ctx context.Context, wanted heldSlot, record SlotRecord) (int64, error) {
+// write replaces the slot's row, and the host's record where that has changed.
+func (slots *slots) write(ctx context.Context, wanted heldSlot, record SlotRecord, also ...platform.Write) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, slots.dependencies.Settings.StoreTimeout)
 	defer cancel()
 	key := slotKey(wanted.deployment, wanted.index)
 	revision, err := slots.dependencies.Table.Transact(ctx,
 		[]platform.Condition{slots.fence.condition(), {Key: key, Revision: wanted.revision}},
-		[]platform.Write{{Key: key, Value: mustEncode(record)}})
+		append(also, platform.Write{Key: key, Value: mustEncode(record)}))
 	var conflict *platform.ConflictError
 	if !errors.As(err, &conflict) {
 		return revision, err
@@ -63,14 +64,14 @@
 
 // hold writes the slot's row with a new lease. A lost answer is resolved by
 // reading the row.
-func (slots *slots) hold(ctx context.Context, wanted heldSlot) error {
+func (slots *slots) hold(ctx context.Context, wanted heldSlot, also ...platform.Write) error {
 	lease := slots.dependencies.Settings.SlotLease
 	sent := time.Now()
 	record := SlotRecord{
 		Host: slots.dependencies.Self.Name, Token: slots.fence.held(),
 		Version: wanted.version, RemainingMS: lease.Milliseconds(),
 	}
-	revision, err := slots.write(ctx, wanted, record)
+	revision, err := slots.write(ctx, wanted, record, also...)
 	if errors.Is(err, platform.ErrOutcomeUnknown) {
 		revision, err = slots.readBack(ctx, wanted, record)
 	}
@@ -102,16 +103,16 @@
 
 // take tries the free slots in turn, beginning at a different one on each host
 // so that hosts that start together seldom meet.
-func (slots *slots) take(ctx context.Context, board Board, plan Plan, version string, free []int, offset int) error {
+func (slots *slots) take(ctx context.Context, view View, free []int, offset int, also platform.Write) error {
 	err := errSlotTaken
 	for try := range min(maxSlotTries, len(free)) {
 		index := free[(offset+try)%len(free)]
 		err = slots.hold(ctx, heldSlot{
-			deployment: plan.Deployment.Name,
+			deployment: view.Plan.Deployment.Name,
 			index:      index,
-			version:    version,
-			revision:   board.SlotRevision(index),
-		})
+			version:    view.Target(),
+			revision:   view.Board.SlotRevision(index),
+		}, also)
 		if !errors.Is(err, errSlotTaken) {
 			return err
 		}
@@ -133,14 +134,13 @@
 }
 
 // release frees the slot. The row stays, because a scan does not show deletions.
-func (slots *slots) release(ctx context.Context) error {
+func (slots *slots) release(ctx context.Context, also platform.Write) error {
 	if !slots.held.has {
 		return nil
 	}
-	_, err := slots.write(ctx, slots.held, SlotRecord{})
+	_, err := slots.write(ctx, slots.held, SlotRecord{}, also)
 	if err == nil || errors.Is(err, errSlotTaken) {
 		slots.held = heldSlot{}
-		return nil
 	}
 	return err
 }
--- a/lib/rollouts/state.go
+++ b/lib/rollouts/state.go
@@ -34,11 +34,11 @@
 )
 
 // setState keeps the state for State and logs each change of it.
-func (loader *Loader) setState(view View, record HostRecord) {
+func (loader *Loader) setState(view View, record HostRecord, decision Decision) {
 	self := loader.dependencies.Self
 	next := HostState{
 		Host: self.Name, DataCentre: self.DataCentre, Deployment: self.Deployment,
-		State: record.State, Target: record.Target, Reason: record.Reason, Token: record.Token,
+		State: record.State, Target: view.Target(), Reason: reasonOf(view, decision), Token: loader.fence.held(),
 		Version: view.Status.Version, ManifestDigest: view.Status.ManifestDigest, OrderID: view.Status.OrderID,
 		Revision: loader.dependencies.Source.Current().Revision,
 	}
@@ -54,6 +54,16 @@
 	loader.state = next
 }
 
+func reasonOf(view View, decision Decision) string {
+	if exhausted := view.Attempts.Exhausted(view.Plan.Version); exhausted != "" {
+		return "gave up version " + view.Plan.Version + ": " + exhausted
+	}
+	if stay, staying := decision.(Stay); staying {
+		return stay.Reason
+	}
+	return ""
+}
+
 // State returns the state of the engine as of the last round.
 func (loader *Loader) State() HostState {
 	loader.mutex.Lock()
