Fetch one version at a time and bound the wait for chunks

Cause: a host that fell back to the earlier version fetched both versions of a rollout at once, and a deployment has one transfer at a time, so that the two would have stopped each other. A chunk that was evicted after the version was whole would have held an order and its slot forever.

Change: a host fetches its target, and the version of a rollout only once it serves the target. An order waits at most a minute for a chunk, then gives its slot back and the version is fetched again.

--- a/lib/rollouts/control.go
+++ b/lib/rollouts/control.go
@@ -223,6 +223,7 @@
 	case errors.Is(err, context.Canceled) || errors.Is(err, errSlotLost):
 	case errors.Is(err, errChunkMissing):
 		loader.prefetch.drop(ended.version.Name)
+		loader.giveBack(ctx)
 	default:
 		control.attempts = control.attempts.WithFailure(ended.version.Name, err.Error(), time.Now())
 	}
@@ -287,6 +288,18 @@
 	return loader.storeResult(err)
 }
 
+// giveBack releases the slot of an order that has to wait for chunks again while
+// the engine still serves.
+func (loader *Loader) giveBack(ctx context.Context) {
+	view := loader.view()
+	if !loader.control.slots.held.has || view.admitted() == "" {
+		return
+	}
+	if err := loader.releaseSlot(ctx, view); err != nil {
+		loader.dependencies.Logger.Info("slot not released", zap.Error(err))
+	}
+}
+
 // publish keeps the state for operators, and writes the host's record to the
 // table when it has changed.
 func (loader *Loader) publish(ctx context.Context, view View, decision Decision) error {
--- a/lib/rollouts/fakes_test.go
+++ b/lib/rollouts/fakes_test.go
@@ -104,6 +104,7 @@
 	fences   bool
 	down     bool
 	failLoad bool
+	failOnly string // The only version whose loads fail, if set.
 	lose     bool
 	highest  int64
 	orders   map[string]*fakeOrder
@@ -210,7 +211,7 @@
 	}
 	engine.loading = ""
 	engine.changedAt = time.Now()
-	if engine.failLoad {
+	if engine.failLoad || engine.failOnly == order.order.Version {
 		engine.status = Status{FailedOrder: order.order.OrderID}
 		engine.content = nil
 		return
@@ -266,6 +267,10 @@
 	putAt    time.Time
 	// corrupt makes the chunk source return other content than the digest names.
 	corrupt bool
+	// chunkPause is how long the chunk source takes for each chunk.
+	chunkPause time.Duration
+	// evicted makes chunks unavailable until the version is fetched again.
+	evicted bool
 }
 
 func newFleet(count int, deployment configurations.Deployment, versions ...string) *fleet {
@@ -404,11 +409,20 @@
 // WaitWhole implements ChunkSource.
 func (fleet *fleet) WaitWhole(ctx context.Context, _ weights.Manifest) error {
 	sleep(ctx, time.Second)
+	fleet.set(func() { fleet.evicted = false })
 	return ctx.Err()
 }
 
 // Chunk implements ChunkSource.
-func (fleet *fleet) Chunk(_ context.Context, digest weights.Digest) ([]byte, error) {
+func (fleet *fleet) Chunk(ctx context.Context, digest weights.Digest) ([]byte, error) {
+	fleet.mutex.Lock()
+	pause, evicted := fleet.chunkPause, fleet.evicted
+	fleet.mutex.Unlock()
+	sleep(ctx, pause)
+	if evicted {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	fleet.mutex.Lock()
 	defer fleet.mutex.Unlock()
 	if fleet.corrupt {
@@ -527,6 +541,9 @@
 
 func (gated gatedEngine) Commit(ctx context.Context, orderID string, token int64) error {
 	gated.agent.pass()
+	if version, serving := gated.agent.admits(); serving {
+		gated.agent.fleet.violate("%s admits %q while it commits %s", gated.agent.host, version, orderID)
+	}
 	return gated.Engine.Commit(ctx, orderID, token)
 }
 
--- a/lib/rollouts/load.go
+++ b/lib/rollouts/load.go
@@ -27,6 +27,8 @@
 	// An engine that neither loads nor serves after a commit gets the commit again
 	// this often. Commits with the same order id are harmless.
 	maxCommits = 5
+	// chunkTimeout bounds the wait for one chunk of a version that was whole.
+	chunkTimeout = time.Minute
 )
 
 var (
@@ -105,9 +107,9 @@
 	dependencies := load.loader.dependencies
 	sent := 0
 	for index, digest := range load.manifest.Chunks {
-		content, err := dependencies.Chunks.Chunk(ctx, digest)
+		content, err := load.chunk(ctx, digest)
 		if err != nil {
-			return fmt.Errorf("%w: %w", errChunkMissing, err)
+			return err
 		}
 		if weights.Sum(content) != digest {
 			dependencies.Invariants.Check(false, invariants.ChunkVerified, zap.Int("chunk", index))
@@ -126,6 +128,21 @@
 	return nil
 }
 
+// chunk returns a chunk of the version. One that was evicted since the version
+// was whole ends the order, so that it is fetched again without holding a slot.
+func (load *load) chunk(ctx context.Context, digest weights.Digest) ([]byte, error) {
+	bounded, cancel := context.WithTimeout(ctx, chunkTimeout)
+	defer cancel()
+	content, err := load.loader.dependencies.Chunks.Chunk(bounded, digest)
+	switch {
+	case ctx.Err() != nil:
+		return nil, context.Cause(ctx)
+	case err != nil:
+		return nil, fmt.Errorf("%w: %w", errChunkMissing, err)
+	}
+	return content, nil
+}
+
 // verifyFence waits until the token is known to be the newest or known not to be.
 func (load *load) verifyFence(ctx context.Context) error {
 	for {
--- a/lib/rollouts/loader.go
+++ b/lib/rollouts/loader.go
@@ -246,7 +246,7 @@
 		return err
 	}
 	view := loader.view()
-	loader.prefetch.want(ctx, loader.missing(view))
+	loader.prefetch.want(ctx, view.missing())
 	if loader.control.running != nil {
 		loader.superviseLoad(view)
 		return loader.publish(ctx, view, Stay{})
@@ -262,23 +262,19 @@
 	return loader.publish(ctx, loader.view(), decision)
 }
 
-// missing returns the versions that this host has to fetch.
-func (loader *Loader) missing(view View) []configurations.Version {
-	var list []configurations.Version
-	if view.Plan.Service() {
-		return list
+// missing returns the version that this host has to fetch, if any: its target,
+// and once it serves that, the version of a rollout whose turn has not come. It
+// is never more than one, because a deployment has one transfer at a time.
+func (view View) missing() []configurations.Version {
+	wanted, served := view.Target(), view.admitted()
+	if wanted == served && view.Plan.State == configurations.RolloutRunning {
+		wanted = view.Plan.Version
 	}
-	served := view.admitted()
-	names := []string{view.Target()}
-	if view.Plan.State == configurations.RolloutRunning && view.Plan.Version != names[0] {
-		names = append(names, view.Plan.Version)
-	}
-	for _, name := range names {
-		if version, known := view.Plan.VersionOf(name); known && name != served {
-			list = append(list, version)
-		}
+	version, known := view.Plan.VersionOf(wanted)
+	if !known || wanted == served || view.Plan.Service() {
+		return nil
 	}
-	return list
+	return []configurations.Version{version}
 }
 
 func (loader *Loader) view() View {
--- a/lib/rollouts/loader_test.go
+++ b/lib/rollouts/loader_test.go
@@ -1,6 +1,7 @@
 package rollouts
 
 import (
+	"context"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -141,6 +142,10 @@
 				}
 			}
 			convey.So(tried, convey.ShouldEqual, 1)
+
+			fleet.rollout(configurations.RolloutRunning)
+			settle(2*time.Minute, agents...)
+			convey.So(servedVersions(agents), convey.ShouldResemble, map[string]int{"v2": 4})
 		})
 	})
 }
@@ -211,11 +216,142 @@
 				admitted, _ := agent.admits()
 				convey.So(admitted, convey.ShouldEqual, "v1")
 			}
+			engine.restart("v1", fleet.digestOf("v2"), fleet.contents["v2"])
+			settle(2*time.Second, agent)
+			_, serving := agent.admits()
+			convey.So(serving, convey.ShouldBeFalse)
+			settle(30*time.Second, agent)
 			convey.So(fleet.violations(), convey.ShouldBeEmpty)
 		})
 	})
 }
 
+// Guards against a host that stays without a version because it can't load the
+// new one.
+func TestHostGivesUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newFleet(3, configurations.Deployment{MinimumServingShare: 0.5}, "v1", "v2")
+		agents := startAll(fleet, true)
+		defer stopAll(agents)
+		convey.Convey("It serves the earlier version between its attempts", t, func() {
+			settle(30*time.Second, agents...)
+			agents[0].engine.set(func(engine *fakeEngine) { engine.failOnly = "v2" })
+			fleet.rollout(configurations.RolloutRunning)
+			settle(70*time.Second, agents...)
+			convey.So(servedVersions(agents), convey.ShouldResemble, map[string]int{"v1": 1, "v2": 2})
+			agents[0].engine.set(func(engine *fakeEngine) { engine.failOnly = "" })
+			settle(3*time.Minute, agents...)
+			convey.So(servedVersions(agents), convey.ShouldResemble, map[string]int{"v2": 3})
+		})
+	})
+}
+
+// Guards against a slow order that loses its slot or outlives an undo.
+func TestSlowPieces(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet, _, agent := one(true)
+		defer agent.stop()
+		convey.Convey("Given pieces that together take longer than a lease", t, func() {
+			fleet.set(func() { fleet.chunkPause = 20 * time.Second })
+			fleet.rollout(configurations.RolloutRunning)
+			settle(30*time.Second, agent)
+			fleet.rollout(configurations.RolloutUndone)
+			for range 600 {
+				settle(100*time.Millisecond, agent)
+				version, _ := agent.admits()
+				convey.So(version, convey.ShouldEqual, "v1")
+			}
+			fleet.rollout(configurations.RolloutRunning)
+			settle(5*time.Minute, agent)
+			version, _ := agent.admits()
+			convey.So(version, convey.ShouldEqual, "v2")
+		})
+	})
+}
+
+// Guards against an order that waits forever for a chunk that was evicted after
+// the version was whole.
+func TestEvictedChunk(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet, _, agent := one(true)
+		defer agent.stop()
+		convey.Convey("The version is fetched again and loaded", t, func() {
+			fleet.set(func() { fleet.chunkPause = 5 * time.Second })
+			fleet.rollout(configurations.RolloutRunning)
+			settle(8*time.Second, agent)
+			fleet.set(func() { fleet.evicted = true })
+			settle(5*time.Minute, agent)
+			version, _ := agent.admits()
+			convey.So(version, convey.ShouldEqual, "v2")
+		})
+	})
+}
+
+// Guards against an agent that writes to the table after a later agent has taken
+// over its host, before it has noticed.
+func TestOldAgentWrites(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet, engine, old := one(true)
+		old.stop()
+		newer := fleet.start("h0", engine)
+		defer newer.stop()
+		convey.Convey("The table refuses its slot and its record", t, func() {
+			settle(10*time.Second, newer)
+			loader := old.loader
+			convey.So(loader.control.slots.hold(t.Context(), heldSlot{deployment: testDeployment}), convey.ShouldEqual, ErrFenced)
+			loader.control.written = HostRecord{}
+			convey.So(loader.publish(t.Context(), loader.view(), Stay{}), convey.ShouldEqual, ErrFenced)
+		})
+	})
+}
+
+// Guards against a lease that is given up because an answer was lost.
+func TestLostSlotAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet, _, agent := one(true)
+		agent.stop()
+		convey.Convey("Every renewal is found in the table", t, func() {
+			control := &agent.loader.control
+			fleet.table.set(func(table *fakeTable) { table.lose = true })
+			convey.So(control.slots.hold(t.Context(), heldSlot{deployment: testDeployment}), convey.ShouldBeNil)
+			for range 20 {
+				convey.So(control.slots.renew(t.Context(), control.slots.held.renewAt), convey.ShouldBeNil)
+			}
+		})
+	})
+}
+
+// statusFunc is an engine that only reports.
+type statusFunc struct {
+	Engine
+	status func() Status
+}
+
+func (engine statusFunc) Status(context.Context) (Status, error) { return engine.status(), nil }
+
+// Guards against the admission of a version that was read before a commit or
+// before a pause of the process.
+func TestStaleStatus(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet, _, agent := one(true)
+		agent.stop()
+		loader := agent.loader
+		serving := Status{Version: "v1", ManifestDigest: fleet.digestOf("v1")}
+		read := func(meanwhile func()) bool {
+			loader.dependencies.Engine = statusFunc{status: func() Status { meanwhile(); return serving }}
+			loader.admit("", false)
+			loader.readBack(t.Context())
+			_, admits := agent.admits()
+			return admits
+		}
+		convey.Convey("Only a status of now is admitted", t, func() {
+			convey.So(read(func() {}), convey.ShouldBeTrue)
+			convey.So(read(func() { loader.beginCommit(); loader.endCommit() }), convey.ShouldBeFalse)
+			convey.So(read(func() { time.Sleep(time.Minute) }), convey.ShouldBeFalse)
+		})
+	})
+}
+
 // Guards against a host that never loads again because its engine has seen a
 // higher token than the table knows.
 func TestRestoredTable(t *testing.T) {
