--- a/cmd/bench/config/drive.go
+++ b/cmd/bench/config/drive.go
@@ -16,6 +16,7 @@
 
 	"go.uber.org/zap"
 
+	"firford/cmd/bench/usage"
 	"firford/lib/hosts"
 	"firford/lib/links"
 )
@@ -43,11 +44,12 @@
 type (
 	// member is one process of the measurement.
 	member struct {
-		host hosts.Host
-		id   int
-		link *links.Link
+		host    hosts.Host
+		id      int
+		options links.Options
 
 		mutex  sync.Mutex
+		link   *links.Link
 		pauses []pause
 	}
 
@@ -85,19 +87,40 @@
 	options := links.Options{Self: links.Identity{Name: "bench"}, Key: []byte(key), Router: links.NewRouter(), Logger: zap.NewNop()}
 	var members []*member
 	for _, host := range all {
-		written, err := os.ReadFile(filepath.Join(directory, host.Name+".pid"))
+		id, err := usage.ReadID(filepath.Join(directory, host.Name+".pid"))
 		if err != nil {
-			return nil, fmt.Errorf("read process id: %w", err)
+			return nil, err
 		}
 		link, err := dial(ctx, host.Address, options)
 		if err != nil {
 			return nil, err
 		}
-		members = append(members, &member{host: host, id: int(number(strings.TrimSpace(string(written)))), link: link})
+		members = append(members, &member{host: host, id: id, options: options, link: link})
 	}
 	return members, nil
 }
 
+// call opens a new link if the last one has ended, as it does while the process
+// is paused.
+func (target *member) call(ctx context.Context, method string, params, result any) error {
+	target.mutex.Lock()
+	link := target.link
+	target.mutex.Unlock()
+	select {
+	case <-link.Done():
+		opened, err := links.Dial(ctx, target.host.Address, target.options)
+		if err != nil {
+			return err
+		}
+		target.mutex.Lock()
+		target.link = opened
+		target.mutex.Unlock()
+		link = opened
+	default:
+	}
+	return link.Call(ctx, method, params, result)
+}
+
 func dial(ctx context.Context, address string, options links.Options) (*links.Link, error) {
 	for {
 		link, err := links.Dial(ctx, address, options)
@@ -167,7 +190,7 @@
 		running.Go(func() {
 			defer func() { <-free }()
 			var result changeResult
-			err := at.link.Call(ctx, methodChange, params, &result)
+			err := at.call(ctx, methodChange, params, &result)
 			mutex.Lock()
 			defer mutex.Unlock()
 			if err != nil {
@@ -203,14 +226,14 @@
 }
 
 func (target *member) pause() {
-	target.mutex.Lock()
-	defer target.mutex.Unlock()
 	from := time.Now()
 	if syscall.Kill(target.id, syscall.SIGSTOP) != nil {
 		return
 	}
 	time.Sleep(pauseTime)
 	_ = syscall.Kill(target.id, syscall.SIGCONT)
+	target.mutex.Lock()
+	defer target.mutex.Unlock()
 	target.pauses = append(target.pauses, pause{from: from, to: time.Now()})
 }
 
@@ -234,10 +257,10 @@
 }
 
 // usages returns what each process has used so far.
-func (driver *driver) usages() ([]usage, error) {
-	var all []usage
+func (driver *driver) usages() ([]usage.Usage, error) {
+	var all []usage.Usage
 	for _, each := range driver.members {
-		used, err := readUsage(each.id)
+		used, err := usage.Read(each.id)
 		if err != nil {
 			return nil, err
 		}
