Signal only processes that are still the script's own; list engines' loads

A long run ends many processes, whose ids the system gives to others: the end of one run stopped an agent of another fleet (its log shows a drain at that moment, and its rollout never finished). Scripts now check before each signal that the process is a child of theirs or names their folder.

firford engines printed 0/0 for the load of every engine and an age of 292 years for one that was not reached: the entry now asks the agents for their load, and an unknown age is shown as such.

--- a/cmd/entry/assembly/adapters.go
+++ b/cmd/entry/assembly/adapters.go
@@ -9,6 +9,7 @@
 	"firford/lib/hosts"
 	"firford/lib/links"
 	"firford/lib/operators"
+	"firford/lib/requests"
 	"firford/lib/rollouts"
 )
 
@@ -72,5 +73,8 @@
 		return engine
 	}
 	engine.Version, engine.State, engine.SeenAt = state.Version, string(state.State), time.Now()
+	if load, err := requests.FetchLoad(ctx, link); err == nil {
+		engine.Running, engine.Queued, engine.Slots = load.Running, load.Queued, load.Slots
+	}
 	return engine
 }
--- a/cmd/firford/commands/states.go
+++ b/cmd/firford/commands/states.go
@@ -94,14 +94,21 @@
 				Version: engine.GetVersion(), State: engine.GetState(), Running: engine.GetRunning(),
 				Queued: engine.GetQueued(), Slots: engine.GetSlots(), AgeMS: engine.GetAgeMs(),
 			})
-			rows = append(rows, fmt.Sprintf("%s\t%s\t%s\t%s\t%s\t%d/%d\t%d\t%.1f s", engine.GetHost(), engine.GetDataCentre(),
+			rows = append(rows, fmt.Sprintf("%s\t%s\t%s\t%s\t%s\t%d/%d\t%d\t%s", engine.GetHost(), engine.GetDataCentre(),
 				engine.GetDeployment(), engine.GetVersion(), engine.GetState(), engine.GetRunning(), engine.GetSlots(),
-				engine.GetQueued(), float64(engine.GetAgeMs())/1000))
+				engine.GetQueued(), ageText(engine.GetAgeMs())))
 		}
 		return session.show(views, table("HOST\tDATA CENTRE\tDEPLOYMENT\tVERSION\tSTATE\tRUNNING\tQUEUED\tAGE", rows))
 	})
 }
 
+func ageText(ageMS int64) string {
+	if ageMS < 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%.1f s", float64(ageMS)/1000)
+}
+
 func (command *statusCommand) run(ctx context.Context, session *session) error {
 	return session.call(ctx, func(ctx context.Context, client wire.OperatorsClient) error {
 		answer, err := client.GetRevisionStatus(ctx, &wire.RevisionStatusRequest{Revision: command.Revision})
--- a/lib/operators/rollouts.go
+++ b/lib/operators/rollouts.go
@@ -178,12 +178,20 @@
 			Host: engine.Host, DataCentre: engine.DataCentre, Deployment: engine.Deployment,
 			Version: engine.Version, State: engine.State,
 			Running: int32(engine.Running), Queued: int32(engine.Queued), Slots: int32(engine.Slots),
-			AgeMs: now.Sub(engine.SeenAt).Milliseconds(),
+			AgeMs: ageMS(engine.SeenAt, now),
 		})
 	}
 	return list, nil
 }
 
+// ageMS returns -1 for an engine of which the entry knows nothing.
+func ageMS(seenAt, now time.Time) int64 {
+	if seenAt.IsZero() {
+		return -1
+	}
+	return now.Sub(seenAt).Milliseconds()
+}
+
 // GetRevisionStatus implements the call.
 func (server *Server) GetRevisionStatus(ctx context.Context, given *wire.RevisionStatusRequest) (*wire.RevisionStatus, error) {
 	if server.dependencies.Surveyor == nil {
--- a/lib/requests/wire.go
+++ b/lib/requests/wire.go
@@ -24,6 +24,7 @@
 	methodResolve = "request.resolve"
 	methodCancel  = "request.cancel"
 	methodState   = "agent.state"
+	methodLoad    = "agent.load"
 
 	// Parts that wait for the connection are bounded for each attempt. Parts beyond
 	// the bound are dropped; the entry collects them when it sees the gap.
@@ -115,6 +116,14 @@
 		State AttemptState `json:"state"`
 	}
 
+	loadParams struct{}
+
+	loadResult struct {
+		Running int `json:"running"`
+		Queued  int `json:"queued"`
+		Slots   int `json:"slots"`
+	}
+
 	cancelParams struct {
 		AttemptID string `json:"attempt_id"`
 	}
@@ -145,6 +154,16 @@
 	links.OnNotification(router, methodCancel, func(_ *links.Link, params cancelParams) {
 		runner.Cancel(params.AttemptID)
 	})
+	links.OnCall(router, methodLoad, func(context.Context, *links.Link, loadParams) (loadResult, error) {
+		return loadResult(runner.Load()), nil
+	})
+}
+
+// FetchLoad asks an agent for its load of this moment.
+func FetchLoad(ctx context.Context, agent Peer) (Load, error) {
+	var load loadResult
+	err := agent.Call(ctx, methodLoad, loadParams{}, &load)
+	return Load(load), err
 }
 
 func serveRun(ctx context.Context, peer Peer, runner Runner, params runParams) runResult {
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -34,13 +34,16 @@
 
 # fleet_signal SIGNAL NAME sends a signal to one process of the fleet by its id.
 fleet_signal() {
-  kill "-$1" "$(cat "$RUN/$2.pid")" 2>/dev/null
+  local id
+  id=$(cat "$RUN/$2.pid")
+  owned "$id" && kill "-$1" "$id" 2>/dev/null
 }
 
 # fleet_stop SIGNAL NAME ends one process and waits until it is gone.
 fleet_stop() {
   local id
   id=$(cat "$RUN/$2.pid")
+  owned "$id" || return 0
   kill -CONT "$id" 2>/dev/null
   kill "-$1" "$id" 2>/dev/null
   wait "$id" 2>/dev/null
@@ -56,7 +59,7 @@
     while sleep 0.5; do
       while IFS=$'\t' read -r name _ _; do
         [ -e "$RUN/$name.pid" ] || continue
-        kill -0 "$(cat "$RUN/$name.pid")" 2>/dev/null || fleet_start "$name"
+        owned "$(cat "$RUN/$name.pid")" || fleet_start "$name"
       done <"$RUN/processes.tsv"
     done
   ) &
@@ -71,14 +74,12 @@
   FLEET_SUPERVISOR=
 }
 
-# fleet_adopt takes over the ids of processes that subshells have started. An
-# id counts only while it belongs to a process of this fleet, whose command line
-# names the fleet's folder.
+# fleet_adopt takes over the ids of processes that subshells have started.
 fleet_adopt() {
   local file id
   for file in "$RUN"/*.pid; do
     id=$(cat "$file")
-    grep -qs "$RUN" "/proc/$id/cmdline" && PROCESS_IDS+=("$id")
+    owned "$id" && PROCESS_IDS+=("$id")
   done
   return 0
 }
@@ -96,9 +97,9 @@
   id=$(cat "$RUN/$1.ended")
   [ "$id" = "$(cat "$RUN/$1.pid")" ] || return 0
   for _ in $(seq 100); do
-    kill -0 "$id" 2>/dev/null || break
+    owned "$id" || break
     sleep 0.1
   done
-  kill -KILL "$id" 2>/dev/null
+  owned "$id" && kill -KILL "$id" 2>/dev/null
   fleet_start "$1"
 }
--- a/scripts/processes.sh
+++ b/scripts/processes.sh
@@ -13,6 +13,15 @@
   echo $! >"$RUN/$name.pid"
 }
 
+# owned ID tells whether the process with the id was started by this script. The
+# ids of processes that have ended are given to others, which must not be hit:
+# the process has to be a child of this shell or to name $RUN in its command line.
+owned() {
+  local parent
+  parent=$(awk '/^State:/ && $2 == "Z" { exit } /^PPid:/ { print $2 }' "/proc/$1/status" 2>/dev/null)
+  [ "$parent" = "$$" ] || { [ -n "${RUN:-}" ] && grep -qsF -- "$RUN" "/proc/$1/cmdline"; }
+}
+
 # stop_all ends every process that this script started.
 stop_all() {
   trap - EXIT INT TERM
@@ -20,10 +29,10 @@
   # A process that has ended by itself must not end the loop under set -e.
   set +e
   local id
-  for id in "${PROCESS_IDS[@]}"; do kill -CONT "$id" 2>/dev/null; kill -TERM "$id" 2>/dev/null; done
+  for id in "${PROCESS_IDS[@]}"; do owned "$id" && kill -CONT "$id" 2>/dev/null && kill -TERM "$id" 2>/dev/null; done
   for id in "${PROCESS_IDS[@]}"; do
-    for _ in $(seq 50); do kill -0 "$id" 2>/dev/null || break; sleep 0.1; done
-    kill -KILL "$id" 2>/dev/null
+    for _ in $(seq 50); do owned "$id" || break; sleep 0.1; done
+    owned "$id" && kill -KILL "$id" 2>/dev/null
   done
   wait 2>/dev/null
 }
