Signal only processes that are still children of the script

stop_all and the fault schedule signalled ids of processes that may have ended. Process ids wrap within minutes on a busy machine (32768 ids), so a signal could reach a stranger. They now check that the process is still a child of the script.

--- a/scripts/bench_burst.sh
+++ b/scripts/bench_burst.sh
@@ -33,7 +33,7 @@
   until [ -e "$RUN/started" ]; do sleep 0.05; done
   while read -r pause action name; do
     sleep "$pause"
-    kill "-$action" "$(cat "$RUN/$name.pid")"
+    own "$(cat "$RUN/$name.pid")" && kill "-$action" "$(cat "$RUN/$name.pid")"
   done <"$RUN/faults.txt"
 }
 
--- a/scripts/processes.sh
+++ b/scripts/processes.sh
@@ -13,6 +13,13 @@
   echo $! >"$RUN/$name.pid"
 }
 
+# own ID reports whether the process is still a child of this script. The system
+# gives the id of an ended process to others.
+own() {
+  local parent
+  read -r _ _ _ parent _ 2>/dev/null <"/proc/$1/stat" && [ "$parent" = "$$" ]
+}
+
 # stop_all ends every process that this script started.
 stop_all() {
   trap - EXIT INT TERM
@@ -20,10 +27,10 @@
   # A process that has ended by itself must not end the loop under set -e.
   set +e
   local id
-  for id in "${PROCESS_IDS[@]}"; do kill -CONT "$id" 2>/dev/null; kill -TERM "$id" 2>/dev/null; done
+  for id in "${PROCESS_IDS[@]}"; do own "$id" && kill -CONT "$id" && kill -TERM "$id"; done
   for id in "${PROCESS_IDS[@]}"; do
-    for _ in $(seq 50); do kill -0 "$id" 2>/dev/null || break; sleep 0.1; done
-    kill -KILL "$id" 2>/dev/null
+    for _ in $(seq 50); do own "$id" || break; sleep 0.1; done
+    own "$id" && kill -KILL "$id"
   done
   wait 2>/dev/null
 }
