Do not spread origin reads when the origin's rate is unknown

Without origin_bytes_per_s the time of one copy is assumed to be 30 s, and a small version would have taken 27 s even from a fast origin. The spread is now zero in that case.

go test ./lib/transfers passes.

--- a/lib/transfers/transfer.go
+++ b/lib/transfers/transfer.go
@@ -113,6 +113,10 @@
 		settings.RankStep = span / hastySteps
 		settings.Spread = time.Duration(float64(span) * hastySpread)
 	}
+	if limits.OriginBytesPerS <= 0 {
+		// The assumed time is long for the sake of later ranks.
+		settings.Spread = 0
+	}
 	return settings
 }
 
