Give a host no turn before the platform lists it

Cause: with an empty list of hosts there are no canaries, so that a new agent, or all of them while the list was unknown, began with the new version at once.

Change: a host that the list does not name keeps the earlier version and takes no slot.

Conclusion: canaries come first whatever the list shows.

--- a/lib/rollouts/decide.go
+++ b/lib/rollouts/decide.go
@@ -94,8 +94,12 @@
 }
 
 // turn reports whether the rollout has reached self: it is a canary, or every
-// canary serves the new version.
+// canary serves the new version. A host that the platform does not list yet has
+// no turn, because it may not know the canaries either.
 func (view View) turn() bool {
+	if !contains(view.Members, view.Self) {
+		return false
+	}
 	canaries := Canaries(view.Plan, view.Members)
 	return contains(canaries, view.Self) || view.Board.allServe(canaries, view.Plan.Version)
 }
@@ -190,6 +194,9 @@
 	case view.HasSlot || view.admitted() == "":
 		return Load{Version: target}
 	}
+	if !contains(view.Members, view.Self) {
+		return Stay{Reason: "the platform does not list this host"}
+	}
 	if index, own := view.Board.own(view.Self, view.Now); own {
 		return Take{Slots: []int{index}}
 	}
--- a/lib/rollouts/loader_test.go
+++ b/lib/rollouts/loader_test.go
@@ -226,6 +226,25 @@
 	})
 }
 
+// Guards against hosts that all load a new version at once, past its canaries,
+// because the list of hosts is not known yet.
+func TestUnknownMembers(t *testing.T) {
+	convey.Convey("A host that the platform does not list keeps the earlier version", t, func() {
+		fleet := newFleet(1, configurations.Deployment{CanaryHosts: 1}, "v1", "v2")
+		fleet.rollout(configurations.RolloutRunning)
+		view := View{
+			Now: time.Unix(1000, 0), Self: "h0", Plan: NewPlan(fleet.Current(), testDeployment),
+			Status: Status{Version: "v1"}, Reachable: true, HasToken: true, Whole: func(string) bool { return true },
+		}
+		convey.So(Decide(view), convey.ShouldResemble, Stay{})
+		view.Members = fleet.members
+		convey.So(Decide(view), convey.ShouldResemble, Take{Slots: []int{0}})
+		fleet.rollout(configurations.RolloutUndone)
+		view.Members, view.Plan, view.Status = nil, NewPlan(fleet.Current(), testDeployment), Status{Version: "v2"}
+		convey.So(Decide(view), convey.ShouldResemble, Stay{Reason: "the platform does not list this host"})
+	})
+}
+
 // Guards against a host that stays without a version because it can't load the
 // new one.
 func TestHostGivesUp(t *testing.T) {
