Let transfers give way to live requests and know the origin's rate

The agent never told its transfers how much of the link the requests use, so they gave way to nothing, and it did not know the origin's rate, so that other hosts stepped in for a chunk after 30 s whatever the size of the version. The agent now counts the bytes of the links from entries each second, and the settings origin_bytes_per_s and link_share reach the transfers.

--- a/cmd/agent/assembly/assembly.go
+++ b/cmd/agent/assembly/assembly.go
@@ -112,6 +112,8 @@
 		Limits: transfers.Limits{
 			UploadBytesPerS:   agent.settings.Transfer.UploadBytesPerSecond,
 			DownloadBytesPerS: agent.settings.Transfer.DownloadBytesPerSecond,
+			LinkShare:         agent.settings.Transfer.LinkShare,
+			OriginBytesPerS:   agent.settings.Transfer.OriginBytesPerSecond,
 			Neighbours:        agent.settings.Transfer.Neighbours,
 		},
 		Scope: agent.metrics.Scope, Logger: agent.logger, Invariants: agent.checker,
@@ -172,6 +174,7 @@
 	group.Go(func() error { agent.departures.Run(alive); return nil })
 	group.Go(func() error { agent.states.run(alive); return nil })
 	group.Go(func() error { agent.watchLeaving(alive); return nil })
+	group.Go(func() error { agent.followLive(alive); return nil })
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
--- a/cmd/agent/assembly/states.go
+++ b/cmd/agent/assembly/states.go
@@ -110,6 +110,7 @@
 
 func (feed *stateFeed) current() (requests.State, []*links.Link) {
 	load := feed.load()
+	entries := feed.links()
 	feed.mutex.Lock()
 	defer feed.mutex.Unlock()
 	state := requests.State{
@@ -122,9 +123,16 @@
 	case feed.admits:
 		state.State = requests.StateServing
 	}
+	return state, entries
+}
+
+// links returns the open links of entries.
+func (feed *stateFeed) links() []*links.Link {
+	feed.mutex.Lock()
+	defer feed.mutex.Unlock()
 	entries := make([]*links.Link, 0, len(feed.entries))
 	for link := range feed.entries {
 		entries = append(entries, link)
 	}
-	return state, entries
+	return entries
 }
--- a/cmd/bench/fleet/fleet.go
+++ b/cmd/bench/fleet/fleet.go
@@ -217,8 +217,9 @@
 [transfer]
 upload_bytes_per_s = %d
 download_bytes_per_s = %d
+origin_bytes_per_s = %d
 `, plan.address(portAgentLinks, agent.number), plan.address(portAgentAdmin, agent.number), plan.address(portChunks, agent.number),
-		plan.address(portEngine, agent.number), agent.pool.Deployment, plan.HostBytesPerSecond, plan.HostBytesPerSecond)
+		plan.address(portEngine, agent.number), agent.pool.Deployment, plan.HostBytesPerSecond, plan.HostBytesPerSecond, plan.OriginBytesPerSec)
 	return file{name: agent.name + ".ini", body: body}
 }
 
--- a/lib/processes/processes.go
+++ b/lib/processes/processes.go
@@ -62,10 +62,12 @@
 	}
 
 	// Transfer limits what an agent uses for transfers of weights. A rate of zero
-	// is no limit.
+	// is no limit, or an unknown rate of the origin's link, which all hosts share.
 	Transfer struct {
 		UploadBytesPerSecond   int64
 		DownloadBytesPerSecond int64
+		OriginBytesPerSecond   int64
+		LinkShare              float64
 		ChunkMemoryBytes       int64
 		Neighbours             int
 	}
@@ -130,6 +132,8 @@
 		Transfer: Transfer{
 			UploadBytesPerSecond:   transfer.Integer("upload_bytes_per_s", 0, 0, mostBytesPerSecond),
 			DownloadBytesPerSecond: transfer.Integer("download_bytes_per_s", 0, 0, mostBytesPerSecond),
+			OriginBytesPerSecond:   transfer.Integer("origin_bytes_per_s", 0, 0, mostBytesPerSecond),
+			LinkShare:              transfer.Share("link_share", 1),
 			ChunkMemoryBytes:       transfer.Integer("chunk_memory_bytes", defaultChunkMemoryBytes, leastChunkMemoryBytes, mostChunkMemoryBytes),
 			Neighbours:             int(transfer.Integer("neighbours", defaultNeighbours, leastNeighbours, mostNeighbours)),
 		},
