--- a/lib/processes/processes_test.go
+++ b/lib/processes/processes_test.go
@@ -91,7 +91,7 @@
 		agent, err := ReadAgent("agent.ini")
 		convey.So(err, convey.ShouldBeNil)
 		convey.So(string(agent.FleetKey), convey.ShouldEqual, "secret")
-		convey.So(agent.Transfer, convey.ShouldResemble, Transfer{ChunkMemoryBytes: defaultChunkMemoryBytes, Neighbours: 12})
+		convey.So(agent.Transfer, convey.ShouldResemble, Transfer{LinkShare: 1, ChunkMemoryBytes: defaultChunkMemoryBytes, Neighbours: 12})
 		convey.So(agent.TLS, convey.ShouldBeNil)
 		convey.So(agent.Host("1").ChunkAddress, convey.ShouldEqual, "127.0.0.1:7201")
 		role, err := Check("agent.ini")
