--- a/lib/configurations/machine_test.go
+++ b/lib/configurations/machine_test.go
@@ -483,6 +483,52 @@
 	})
 }
 
+// Guards against a bound that holds at full size only without faults: one node
+// in twenty is paused, one link in ten is cut, the store is slow and goes out as
+// soon as the change is accepted.
+func TestFullSizeUnderFaults(t *testing.T) {
+	if testing.Short() {
+		t.Skip("1,290 nodes take some seconds")
+	}
+	synctest.Test(t, func(t *testing.T) {
+		world := newSimulationOf(1, 1290, false)
+		time.Sleep(2 * time.Second)
+		faults := step{slow: 900 * time.Millisecond}
+		random := rand.New(rand.NewPCG(1, 1))
+		for i := range world.all {
+			if i > 0 && random.IntN(20) == 0 {
+				faults.paused = append(faults.paused, i)
+			}
+			for _, near := range hosts.Neighbours(hostName(i), world.all, neighbourCount) {
+				if hostName(i) < near.Name && random.IntN(10) == 0 {
+					faults.cuts = append(faults.cuts, pair(hostName(i), near.Name))
+				}
+			}
+		}
+		world.inject(faults)
+		result := world.change(0, world.request(0, step{}))
+		world.table.set(true, lossNone, 0)
+		reached := world.reachable(hostName(0))
+		late := func() (count int) {
+			for name := range reached {
+				if world.network.node(name).Current().Revision < result.change.Revision {
+					count++
+				}
+			}
+			return count
+		}
+		for late() > 0 && time.Since(result.at) < inForceBound {
+			time.Sleep(10 * time.Millisecond)
+		}
+		t.Logf("%d nodes paused, %d links cut, %d nodes reachable: in force on all but %d after %v",
+			len(faults.paused), len(faults.cuts), len(reached), late(), time.Since(result.at))
+		if result.err != nil || late() > 0 {
+			t.Errorf("error %v, not in force on %d reachable nodes", result.err, late())
+		}
+		world.stop()
+	})
+}
+
 func (world *simulation) reads() int {
 	world.table.mutex.Lock()
 	defer world.table.mutex.Unlock()
