--- a/lib/requests/failures_test.go
+++ b/lib/requests/failures_test.go
@@ -218,3 +218,48 @@
 		convey.So(totalRuns(fleet, plainBody), convey.ShouldEqual, 1)
 	})
 }
+
+// Guards against claims of refused requests that stay and make every repeat of
+// their key ask an agent.
+func TestUnusedClaimIsReleased(t *testing.T) {
+	fleet := startFleet(t, 1)
+	convey.Convey("A claim whose writes were all lost is refused as not run and then deleted", t, func() {
+		lost := maxWriteAttempts
+		fleet.table.setFault(func() tableFault {
+			if lost == 0 {
+				return faultNone
+			}
+			lost--
+			return faultLostAfter
+		})
+		status, lines := fleet.post(plainBody, "Idempotent", "false", "Request-Key", "k")
+		convey.So(status, convey.ShouldEqual, 503)
+		convey.So(lines[0], convey.ShouldContainSubstring, CodeStoreUnavailable)
+		convey.So(totalRuns(fleet, plainBody), convey.ShouldEqual, 0)
+		waitFor(func() bool {
+			fleet.table.mutex.Lock()
+			defer fleet.table.mutex.Unlock()
+			return len(fleet.table.rows) == 0
+		})
+	})
+}
+
+// Guards against a repeat that can't ask the agent of its claim, because that
+// agent is not in the subset of the repeat's entry.
+func TestReachOutsideTheSubset(t *testing.T) {
+	fleet := startFleet(t, 1)
+	convey.Convey("A listed agent is reached over a link of its own, another is not", t, func() {
+		fleet.agents.mutex.Lock()
+		delete(fleet.agents.views, "agent-0")
+		fleet.agents.mutex.Unlock()
+		peer, done, err := fleet.agents.reach(context.Background(), "agent-0")
+		convey.So(err, convey.ShouldBeNil)
+		state, err := Resolve(context.Background(), peer, NewID(), "i1")
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(state, convey.ShouldEqual, AttemptNotRun)
+		done()
+		<-peer.Done()
+		_, _, err = fleet.agents.reach(context.Background(), "agent-9")
+		convey.So(err, convey.ShouldNotBeNil)
+	})
+}
--- a/lib/rollouts/loader.go
+++ b/lib/rollouts/loader.go
@@ -100,6 +100,7 @@
 		orders        int
 		written       HostRecord
 		verifyAt      time.Time
+		loadAt        time.Time
 		storeRetryAt  time.Time
 		changeRetryAt time.Time
 		storeBackoff  *backoff.ExponentialBackOff
@@ -245,7 +246,7 @@
 		return err
 	}
 	view := loader.view()
-	loader.prefetch.want(ctx, loader.missing(view))
+	loader.prefetch.want(ctx, view.missing())
 	if loader.control.running != nil {
 		loader.superviseLoad(view)
 		return loader.publish(ctx, view, Stay{})
@@ -258,26 +259,22 @@
 	if err != nil {
 		loader.dependencies.Logger.Info("step not completed", zap.Error(err))
 	}
-	return loader.publish(ctx, view, decision)
+	return loader.publish(ctx, loader.view(), decision)
 }
 
-// missing returns the versions that this host has to fetch.
-func (loader *Loader) missing(view View) []configurations.Version {
-	var list []configurations.Version
-	if view.Plan.Service() {
-		return list
+// missing returns the version that this host has to fetch, if any: its target,
+// and once it serves that, the version of a rollout whose turn has not come. It
+// is never more than one, because a deployment has one transfer at a time.
+func (view View) missing() []configurations.Version {
+	wanted, served := view.Target(), view.admitted()
+	if wanted == served && view.Plan.State == configurations.RolloutRunning {
+		wanted = view.Plan.Version
 	}
-	served := view.admitted()
-	names := []string{view.Target()}
-	if view.Plan.State == configurations.RolloutRunning && view.Plan.Version != names[0] {
-		names = append(names, view.Plan.Version)
-	}
-	for _, name := range names {
-		if version, known := view.Plan.VersionOf(name); known && name != served {
-			list = append(list, version)
-		}
+	version, known := view.Plan.VersionOf(wanted)
+	if !known || wanted == served || view.Plan.Service() {
+		return nil
 	}
-	return list
+	return []configurations.Version{version}
 }
 
 func (loader *Loader) view() View {
@@ -312,40 +309,16 @@
 
 // act carries out a decision.
 func (loader *Loader) act(ctx context.Context, view View, decision Decision) error {
-	control := &loader.control
 	switch decision := decision.(type) {
 	case Stay:
 		return nil
 	case Take:
-		if view.Now.Before(control.storeRetryAt) {
-			return nil
-		}
-		offset := 0
-		for index, host := range hosts.Rank("canary/"+view.Plan.Deployment.Name, view.Members) {
-			if host.Name == view.Self {
-				offset = index
-			}
-		}
-		err := control.slots.take(ctx, view.Board, view.Plan, view.Target(), decision.Slots, offset)
-		if errors.Is(err, errSlotTaken) {
-			control.boardAt = time.Time{}
-			return nil
-		}
-		if err == nil {
-			loader.noteSlot()
-			nudge(loader.wake)
-		}
-		return loader.storeResult(err)
+		return loader.takeSlot(ctx, view, decision.Slots)
 	case Load:
 		loader.startLoad(ctx, view, decision.Version)
 		return nil
 	case Release:
-		if view.Now.Before(control.storeRetryAt) {
-			return nil
-		}
-		err := loader.storeResult(control.slots.release(ctx))
-		loader.noteSlot()
-		return err
+		return loader.releaseSlot(ctx, view)
 	case StopRollout:
 		rollout := view.Plan.Rollout
 		rollout.State, rollout.Reason = configurations.RolloutStopped, decision.Reason
