--- a/lib/transfers/selections/selections_test.go
+++ b/lib/transfers/selections/selections_test.go
@@ -114,6 +114,18 @@
 	})
 }
 
+// Guards against a dead neighbour that still counts as a holder of its chunks.
+func TestLostNeighbour(t *testing.T) {
+	convey.Convey("A chunk that only a lost neighbour held is read from the origin", t, func() {
+		state := New(testSettings, ranked(0), allBut(3), []string{"a"}, testStart)
+		state, asks := step(state, holding("a", 3), 0)
+		convey.So(asks, convey.ShouldResemble, []Ask{{Chunk: 3, From: "a"}})
+		state, _ = step(state, Lost{Neighbour: "a"}, time.Second)
+		_, asks = step(state, Failed{Chunk: 3, From: "a", Reason: Broken}, time.Second)
+		convey.So(asks, convey.ShouldResemble, []Ask{{Chunk: 3, From: Origin}})
+	})
+}
+
 // Guards against late ranks that read a second copy, and against a chunk that
 // nobody reads when the first rank is dead.
 func TestOriginDeadlines(t *testing.T) {
