Continue a stream only on the version that began it

An entry names the version of a continuation from the agent's last statement, up to a second old. An agent that changed its version in between could have begun an answer that another agent of the stated version continued: a mix of two versions that every check would have passed. Parts now state the version that the server was serving, the continuation carries it, the next agent refuses another one, and the entry drops parts of a foreign version.

Also halves the bytes of the list of hosts (5 KB/s at most for a process), since departures no longer wait for it.

--- a/lib/admissions/attempts.go
+++ b/lib/admissions/attempts.go
@@ -31,7 +31,8 @@
 		position int // In the flow's heap.
 
 		phase     phase
-		epoch     int64 // Of the gate when the attempt started.
+		epoch     int64  // Of the gate when the attempt started.
+		version   string // Intended by the gate when the attempt started.
 		started   time.Time
 		cancel    context.CancelFunc
 		handed    int  // Times that it was given to the backend server.
--- a/lib/admissions/ledger.go
+++ b/lib/admissions/ledger.go
@@ -118,6 +118,9 @@
 	if code := ledger.gate.closed(); code != "" || owner == nil {
 		return nil, ledger.refuse(request.AttemptID, requests.CodeNotServing, "the backend server takes no new requests", now.Add(retryClose))
 	}
+	if wanted := request.Version; wanted != "" && wanted != ledger.gate.intended {
+		return nil, ledger.refuse(request.AttemptID, requests.CodeNotServing, "the answer was begun by version "+wanted, now.Add(retryClose))
+	}
 	seconds := ledger.estimates.of(work)
 	owner.offer(now, seconds)
 	if outcome := ledger.predict(now, request, owner, seconds); outcome != nil {
@@ -198,6 +201,7 @@
 	chosen.phase = phaseRunning
 	chosen.started = now
 	chosen.epoch = ledger.gate.epoch
+	chosen.version = ledger.gate.intended
 	chosen.flow.occupy(now, 1, chosen.seconds)
 	ledger.running++
 	ledger.executed.add(id)
--- a/lib/admissions/ledger_test.go
+++ b/lib/admissions/ledger_test.go
@@ -117,6 +117,20 @@
 	}
 }
 
+// Guards against a stream that one version began and another one continues.
+func TestContinuationNeedsItsVersion(t *testing.T) {
+	convey.Convey("A server of v2 takes a continuation of v2 and refuses one of v1", t, func() {
+		run := newSimulation(Limits{}, &source{name: "a", weight: 1, perSecond: 1, tokens: 1})
+		run.ledger.gate = run.ledger.gate.WithServing("v2", true)
+		for version, taken := range map[string]bool{"v1": false, "v2": true} {
+			request := requests.Request{AttemptID: version, Organisation: "a", Deadline: run.now.Add(time.Minute), AfterPart: 3, Version: version}
+			convey.So(run.ledger.screen(run.now, request, run.snapshot), convey.ShouldBeNil)
+			_, outcome := run.ledger.admit(run.now, request, generation{maxTokens: 9})
+			convey.So(outcome == nil, convey.ShouldEqual, taken)
+		}
+	})
+}
+
 // Guards against a queue that stays shut because of estimates that no new
 // measurement corrects.
 func TestEstimatesRecover(t *testing.T) {
--- a/lib/admissions/queue.go
+++ b/lib/admissions/queue.go
@@ -248,15 +248,15 @@
 	timer := time.NewTimer(time.Until(followed.request.Deadline))
 	defer timer.Stop()
 	for {
-		parts, number, outcome := queue.read(followed, after)
+		news := queue.read(followed, after)
 		if followed.request.Stream {
-			for i, text := range parts {
-				deliver(requests.Part{AttemptID: followed.request.AttemptID, Number: number + i, Text: text})
+			for i, text := range news.parts {
+				deliver(requests.Part{AttemptID: followed.request.AttemptID, Version: news.version, Number: news.number + i, Text: text})
 			}
-			after = max(after, number+len(parts)-1)
+			after = max(after, news.number+len(news.parts)-1)
 		}
-		if outcome != nil {
-			return outcome
+		if news.outcome != nil {
+			return news.outcome
 		}
 		select {
 		case <-joined.signal:
@@ -270,11 +270,20 @@
 	}
 }
 
-func (queue *Queue) read(followed *attempt, after int) (parts []string, number int, outcome requests.Outcome) {
+// news is what an attempt has produced since a follower last looked. Number is
+// that of the first part.
+type news struct {
+	parts   []string
+	number  int
+	version string
+	outcome requests.Outcome
+}
+
+func (queue *Queue) read(followed *attempt, after int) news {
 	queue.mutex.Lock()
 	defer queue.mutex.Unlock()
-	parts, number = followed.since(after)
-	return parts, number, followed.outcome
+	parts, number := followed.since(after)
+	return news{parts: parts, number: number, version: followed.version, outcome: followed.outcome}
 }
 
 func (queue *Queue) leave(followed *attempt, left *follower) {
--- a/lib/hosts/watcher.go
+++ b/lib/hosts/watcher.go
@@ -22,8 +22,9 @@
 	// together; the platform allows 2,000 reads of all kinds.
 	sharedListRate = 600
 	// listBytesPerSecond bounds what one process reads of the list. It leaves
-	// most of the 17 KB/s of a process's control traffic for everything else.
-	listBytesPerSecond = 10_000
+	// most of the 17 KB/s of a process's control traffic for everything else;
+	// departures don't wait for the list, because hints spread them.
+	listBytesPerSecond = 5_000
 	minimumListPause   = time.Second
 	maximumListPause   = time.Minute
 	listTimeout        = 5 * time.Second
--- a/lib/requests/client.go
+++ b/lib/requests/client.go
@@ -86,7 +86,7 @@
 	attempts := slices.Clone(client.attempts[params.AttemptID])
 	client.mutex.Unlock()
 	for _, attempt := range attempts {
-		attempt.receive(Part{AttemptID: params.AttemptID, Number: params.Part, Text: params.Text})
+		attempt.receive(Part{AttemptID: params.AttemptID, Version: params.Version, Number: params.Part, Text: params.Text})
 	}
 }
 
--- a/lib/requests/dispatch.go
+++ b/lib/requests/dispatch.go
@@ -7,6 +7,7 @@
 // dropped: they add load where engines batch continuously.
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"sync"
@@ -122,7 +123,7 @@
 			break
 		}
 		tried[held.name] = true
-		request.AttemptID, request.AfterPart = NewID(), passed.count()
+		request.AttemptID, request.AfterPart, request.Version = NewID(), passed.count(), version
 		last = dispatcher.attempt(ctx, held, request, passed)
 		if end, answered := last.(Answered); answered {
 			return finished(request, end, version, passed)
@@ -131,7 +132,9 @@
 			mayHaveRun = true
 		}
 		if version == "" && passed.count() > 0 {
-			version = held.version
+			// The agent may have changed its version since it last stated one, so what
+			// the parts state goes before it.
+			version = cmp.Or(passed.begunBy(), held.version)
 		}
 		if ctx.Err() != nil || !retryable(last) || !dispatcher.mayRetry() {
 			break
--- a/lib/requests/progress.go
+++ b/lib/requests/progress.go
@@ -17,6 +17,7 @@
 	mutex   sync.Mutex
 	deliver func(Part)
 	last    int
+	version string // Of the first part that states one.
 	hash    *blake3.Hasher
 	texts   []string
 	bytes   int
@@ -27,13 +28,19 @@
 }
 
 // pass hands a part to the caller. Each attempt delivers its parts in order and
-// starts behind the last passed one, so a part of another number is a repeat.
+// starts behind the last passed one, so a part of another number is a repeat. A
+// part of another version would mix two answers; without it the end of its
+// attempt does not match, and the answer ends in a stated error.
 func (passed *progress) pass(part Part) {
 	passed.mutex.Lock()
 	defer passed.mutex.Unlock()
-	if part.Number != passed.last+1 {
+	foreign := part.Version != "" && passed.version != "" && part.Version != passed.version
+	if part.Number != passed.last+1 || foreign {
 		return
 	}
+	if passed.version == "" {
+		passed.version = part.Version
+	}
 	passed.last = part.Number
 	_, _ = passed.hash.WriteString(part.Text) // A hash takes every write.
 	passed.bytes += len(part.Text)
@@ -49,6 +56,13 @@
 	return passed.last
 }
 
+// begunBy returns the version that made the passed parts, if one was stated.
+func (passed *progress) begunBy() string {
+	passed.mutex.Lock()
+	defer passed.mutex.Unlock()
+	return passed.version
+}
+
 func (passed *progress) digest() string {
 	passed.mutex.Lock()
 	defer passed.mutex.Unlock()
--- a/lib/requests/requests.go
+++ b/lib/requests/requests.go
@@ -50,7 +50,8 @@
 
 	// Request is one attempt to run a caller's request. AttemptID is a random
 	// 128-bit value in hex that is never reused; RequestID stays the same when the
-	// request is tried again. Parts up to AfterPart have reached the caller before.
+	// request is tried again. Parts up to AfterPart have reached the caller before;
+	// Version then names the version that made them, and only that one may go on.
 	Request struct {
 		AttemptID    string
 		RequestID    string
@@ -62,11 +63,15 @@
 		Stream       bool
 		Body         json.RawMessage
 		AfterPart    int
+		Version      string
 	}
 
 	// Part is one numbered piece of a streamed answer; the first has number 1.
+	// Version is the one that the backend server was serving when the attempt
+	// began; it is empty for plain services.
 	Part struct {
 		AttemptID string
+		Version   string
 		Number    int
 		Text      string
 	}
--- a/lib/requests/wire.go
+++ b/lib/requests/wire.go
@@ -79,6 +79,7 @@
 		Stream       bool   `json:"stream,omitempty"`
 		Body         []byte `json:"body"`
 		AfterPart    int    `json:"after_part,omitempty"`
+		Version      string `json:"version,omitempty"`
 	}
 
 	runResult struct {
@@ -98,6 +99,7 @@
 	partParams struct {
 		AttemptID string `json:"attempt_id"`
 		Part      int    `json:"part"`
+		Version   string `json:"version,omitempty"`
 		Text      string `json:"text"`
 	}
 
@@ -225,7 +227,7 @@
 		}
 		for _, part := range parts {
 			// The link's end shows in the call that waits for the outcome.
-			_ = box.peer.Notify(methodPart, partParams{AttemptID: part.AttemptID, Part: part.Number, Text: part.Text})
+			_ = box.peer.Notify(methodPart, partParams{AttemptID: part.AttemptID, Part: part.Number, Version: part.Version, Text: part.Text})
 		}
 	}
 }
@@ -252,6 +254,7 @@
 		Stream:       request.Stream,
 		Body:         request.Body,
 		AfterPart:    request.AfterPart,
+		Version:      request.Version,
 	}
 }
 
@@ -267,6 +270,7 @@
 		Stream:       params.Stream,
 		Body:         json.RawMessage(params.Body),
 		AfterPart:    params.AfterPart,
+		Version:      params.Version,
 	}
 }
 
