Tell entries when a backend server leaves or is not reachable

Entries learned only from refusals that a backend server had become unreachable, was loading or said that it leaves, so each of them sent some requests in vain. The queue now tells the agent's state feed, which states it to every entry at once.

--- a/cmd/agent/assembly/assembly.go
+++ b/cmd/agent/assembly/assembly.go
@@ -102,8 +102,9 @@
 		Self: agent.self.Name, Watcher: agent.watcher, Broadcast: agent.configuration.Broadcast, Logger: agent.logger,
 	})
 	engine := engines.New(engines.Options{Address: agent.settings.BackendServer})
+	agent.states = newStateFeed(agent)
 	agent.queue = admissions.New(admissions.Dependencies{
-		Deployment: agent.settings.Deployment, Backend: engine, Source: agent.configuration,
+		Deployment: agent.settings.Deployment, Backend: engine, Source: agent.configuration, Changed: agent.states.setRefusing,
 		Logger: agent.logger, Scope: agent.metrics.Scope, Checker: agent.checker,
 	})
 	agent.transfers = transfers.New(transfers.Dependencies{
@@ -119,7 +120,6 @@
 		Scope: agent.metrics.Scope, Logger: agent.logger, Invariants: agent.checker,
 		Seed: uint64(time.Now().UnixNano()),
 	})
-	agent.states = newStateFeed(agent)
 	agent.loader = rollouts.NewLoader(rollouts.Dependencies{
 		Self: agent.self, Engine: orders{client: engine}, Table: client, Objects: client, Source: agent.configuration,
 		Change: agent.change, Chunks: chunkSource{agent: agent}, Members: agent.watcher.Current,
--- a/cmd/agent/assembly/states.go
+++ b/cmd/agent/assembly/states.go
@@ -28,13 +28,14 @@
 	version  string
 	admits   bool
 	draining bool
+	refusing string // Why the queue takes no new requests; empty if it does.
 }
 
 func newStateFeed(agent *agent) *stateFeed {
 	return &stateFeed{
 		incarnation: agent.self.Incarnation,
 		deployment:  agent.settings.Deployment,
-		load:        agent.queue.Load,
+		load:        func() requests.Load { return agent.queue.Load() },
 		source:      agent.configuration,
 		changed:     make(chan struct{}, 1),
 		entries:     map[*links.Link]bool{},
@@ -65,6 +66,15 @@
 	feed.wake()
 }
 
+// setRefusing is told by the queue when its backend server leaves, loads, is
+// not reachable, or takes requests again.
+func (feed *stateFeed) setRefusing(code string) {
+	feed.mutex.Lock()
+	feed.refusing = code
+	feed.mutex.Unlock()
+	feed.wake()
+}
+
 func (feed *stateFeed) setDraining() {
 	feed.mutex.Lock()
 	feed.draining = true
@@ -75,7 +85,7 @@
 func (feed *stateFeed) serving() bool {
 	feed.mutex.Lock()
 	defer feed.mutex.Unlock()
-	return feed.admits && !feed.draining
+	return feed.admits && !feed.draining && feed.refusing == ""
 }
 
 func (feed *stateFeed) wake() {
@@ -118,9 +128,9 @@
 		Running: load.Running, Queued: load.Queued, Slots: load.Slots, Revision: feed.source.Current().Revision,
 	}
 	switch {
-	case feed.draining:
+	case feed.draining || feed.refusing == requests.CodeLeaving:
 		state.State = requests.StateDraining
-	case feed.admits:
+	case feed.admits && feed.refusing == "":
 		state.State = requests.StateServing
 	}
 	return state, entries
