--- a/cmd/agent/assembly/assembly.go
+++ b/cmd/agent/assembly/assembly.go
@@ -34,6 +34,8 @@
 	// drainLimit ends a shutdown whose requests don't end. It is above the longest
 	// budget that an entry accepts.
 	drainLimit = 11 * time.Minute
+	// idlePoll is how often a load looks whether the last request has ended.
+	idlePoll = 20 * time.Millisecond
 )
 
 // agent holds the parts of one process.
@@ -123,7 +125,7 @@
 	agent.loader = rollouts.NewLoader(rollouts.Dependencies{
 		Self: agent.self, Engine: orders{client: engine}, Table: client, Objects: client, Source: agent.configuration,
 		Change: agent.change, Chunks: chunkSource{agent: agent}, Members: agent.watcher.Current,
-		Serving: agent.setServing, Invariants: agent.checker, Scope: agent.metrics.Scope, Logger: agent.logger,
+		Serving: agent.setServing, Drain: agent.waitIdle, Invariants: agent.checker, Scope: agent.metrics.Scope, Logger: agent.logger,
 		Settings: rollouts.DefaultSettings(),
 	})
 	agent.register()
@@ -143,6 +145,22 @@
 	agent.states.setServing(version, serving)
 }
 
+// waitIdle returns when no request runs on the backend server. The loader calls
+// it after it has stopped admission, because not every engine lets running
+// requests finish before it loads another version.
+func (agent *agent) waitIdle(ctx context.Context) error {
+	ticker := time.NewTicker(idlePoll)
+	defer ticker.Stop()
+	for agent.queue.Load().Running > 0 {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
+
 // change commits a change that this agent makes to a rollout.
 func (agent *agent) change(ctx context.Context, requestID string, object configurations.Object, revision int64) error {
 	_, err := agent.configuration.Change(ctx, configurations.Request{
