Count a host as leaving from when the platform has taken the change

The trace: the script noted the fault at 21:17:37.49 and then started two programs to tell the platform, on a machine with a load above 200; with the list's lag of 2 s the first process read the departure at 21:17:41.04, all others had it within 15 ms, and the agent drained at 21:17:41.05. The script now notes the fault when the platform has answered. The limit of 3 s is unchanged.

--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -55,16 +55,20 @@
     curl -fs -X PUT -H "Authorization: Bearer $(cat "$RUN/platform.token")" -d @- "http://$PLATFORM/membership/$1" >/dev/null
 }
 
+# note PHASE KIND TARGET records a fault with its time for the verdict.
+note() { echo "$(date +%s.%3N) $1 $2 $3" >>"$RUN/faults.log"; }
+
 # inject PHASE KIND TARGET carries out the start or the end of one fault.
 inject() {
-  echo "$(date +%s.%3N) $1 $2 $3" >>"$RUN/faults.log"
+  # A host is leaving from the moment at which the platform has taken the change.
+  [ "$1 $2" = "start leave_agent" ] || note "$1" "$2" "$3"
   case "$1 $2" in
     "start kill_"*) fleet_end KILL "$3" ;;
     "start freeze_"*) fleet_signal STOP "$3" ;;
     "end freeze_"*) fleet_signal CONT "$3" ;;
     "start terminate_"*) fleet_end TERM "$3" ;;
     "end kill_"* | "end terminate_"*) fleet_restart "$3" ;;
-    "start leave_agent") set_leaving "$3" true ;;
+    "start leave_agent") set_leaving "$3" true && note "$1" "$2" "$3" ;;
     "end leave_agent")
       set_leaving "$3" false
       sleep 2.5 # The list lags by 2 s; an agent that starts earlier would drain again.
