--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -16,6 +16,7 @@
 	"firford/cmd/bench/config"
 	"firford/cmd/bench/control"
 	"firford/cmd/bench/demo"
+	"firford/cmd/bench/fetch"
 	"firford/cmd/bench/fleet"
 	"firford/cmd/bench/operations"
 	"firford/cmd/bench/overhead"
@@ -46,6 +47,8 @@
 		Overhead       *overhead.Command       `arg:"subcommand:overhead" help:"compare the path through an entry and an agent with calling the backend server"`
 		ControlMeasure *control.MeasureCommand `arg:"subcommand:control-measure" help:"measure what an idle fleet's processes cost"`
 		ControlSummary *control.SummaryCommand `arg:"subcommand:control-summary" help:"fit the costs of several sizes"`
+		Fetch          *fetch.Command          `arg:"subcommand:fetch" help:"send an HTTP request and print the answer"`
+		Leaving        *fetch.LeavingCommand   `arg:"subcommand:leaving" help:"tell the platform that a host is leaving"`
 	}
 )
 
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -27,7 +27,7 @@
   done
   return 1
 }
-origin_bytes() { curl -fs "http://$(address 0)/counters" | sed 's/.*"origin_bytes":\([0-9]*\).*/\1/'; }
+origin_bytes() { fetch "$(address 0)/counters" | sed 's/.*"origin_bytes":\([0-9]*\).*/\1/'; }
 # roll_out DEPLOYMENT VERSION publishes new weights and waits until they serve.
 roll_out() {
   head -c "$SIZE" /dev/urandom >"$RUN/$2.weights"
--- a/scripts/processes.sh
+++ b/scripts/processes.sh
@@ -40,11 +40,14 @@
 trap stop_all EXIT
 trap 'exit 130' INT TERM
 
+# fetch ADDRESS/PATH [--data BODY] sends an HTTP request and prints the answer.
+fetch() { "${BIN:-out/bin}/bench" fetch "$@"; }
+
 # wait_ready ADDRESS waits until GET /ready at the address answers 200.
 wait_ready() {
   local address=$1
   for _ in $(seq 300); do
-    curl -fs -o /dev/null "http://$address/ready" && return 0
+    fetch "$address/ready" >/dev/null 2>&1 && return 0
     sleep 0.1
   done
   echo "not ready: $address" >&2
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -42,17 +42,13 @@
     firford rollout start "$1" "$2" --request-id "start-$2"
 }
 
-post() { curl -fs -m 3 -X POST -d "$2" "http://$1/faults" >/dev/null; }
+post() { fetch "$1/faults" --data "$2" >/dev/null; }
 network() { post "$NETWORK" "{\"route\":\"$1\",\"fault\":\"$2\"}"; }
 engine_address() { fleet_line "$1" | cut -f2; }
 
-# set_leaving NAME TRUE|FALSE changes the platform's list of hosts.
+# set_leaving NAME [--back] changes the platform's list of hosts.
 set_leaving() {
-  python3 -c 'import json,sys
-host = next(h for h in json.load(open(sys.argv[1])) if h["name"] == sys.argv[2])
-host["leaving"] = sys.argv[3] == "true"
-print(json.dumps(host))' "$RUN/hosts.json" "$1" "$2" |
-    curl -fs -X PUT -H "Authorization: Bearer $(cat "$RUN/platform.token")" -d @- "http://$PLATFORM/membership/$1" >/dev/null
+  "$BIN/bench" leaving --directory "$RUN" --platform "$PLATFORM" --host "$@"
 }
 
 # note PHASE KIND TARGET records a fault with its time for the verdict.
@@ -68,9 +64,9 @@
     "end freeze_"*) fleet_signal CONT "$3" ;;
     "start terminate_"*) fleet_end TERM "$3" ;;
     "end kill_"* | "end terminate_"*) fleet_restart "$3" ;;
-    "start leave_agent") set_leaving "$3" true && note "$1" "$2" "$3" ;;
+    "start leave_agent") set_leaving "$3" && note "$1" "$2" "$3" ;;
     "end leave_agent")
-      set_leaving "$3" false
+      set_leaving "$3" --back
       sleep 2.5 # The list lags by 2 s; an agent that starts earlier would drain again.
       fleet_end TERM "$3"
       fleet_restart "$3"
