Let a caller read the refusal of a body that is far too large

A body of 10 MiB was refused before it had arrived, and closing the connection with unread data reset it, so that the caller saw a reset in place of the 413. Connections of callers now end in two steps: the entry stops sending, then drops what still arrives for at most two seconds. The agent's administrative listener uses TLS where it is set, as the entry's did.

--- a/cmd/agent/assembly/assembly.go
+++ b/cmd/agent/assembly/assembly.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"net"
 	"time"
@@ -183,6 +184,9 @@
 	if err != nil {
 		return fmt.Errorf("listen for probes: %w", err)
 	}
+	if agent.settings.TLS != nil {
+		adminListener = tls.NewListener(adminListener, agent.settings.TLS.Listener())
+	}
 	group.Go(func() error { return links.Serve(alive, linkListener, agent.options) })
 	group.Go(func() error { return probes.New(agent.ready, agent.metrics.Handler).Serve(alive, adminListener) })
 	group.Go(func() error { return agent.transfers.Run(alive) })
--- a/lib/requests/front.go
+++ b/lib/requests/front.go
@@ -131,7 +131,7 @@
 		<-ctx.Done()
 		stopped <- server.Shutdown()
 	}()
-	if err := server.Serve(listener); err != nil {
+	if err := server.Serve(lingeringListener{Listener: listener}); err != nil {
 		return fmt.Errorf("serve callers: %w", err)
 	}
 	return <-stopped
--- a/lib/requests/front_test.go
+++ b/lib/requests/front_test.go
@@ -173,6 +173,7 @@
 		{"whole answer", "POST", requests, plainBody, nil},
 		{"streamed answer", "POST", requests, streamBody, nil},
 		{"body too large", "POST", requests, longBody(MaxBodyBytes), nil},
+		{"body of 10 MiB", "POST", requests, longBody(10 << 20), nil},
 		{"malformed JSON", "POST", requests, `{"prompt":`, nil},
 		{"no prompt", "POST", requests, `{"max_tokens":3}`, nil},
 		{"max_tokens below zero", "POST", requests, `{"prompt":"a","max_tokens":-1}`, nil},
