Ask hosts over links for one exchange in one place

The survey of revisions and the list of engines each held the same loop: dial each host, at most 32 at a time, three seconds each, close. Both now call links.AskEach; bounds and answers stay as they were. Removes three address lists of the bench's fleet that nothing called.

--- a/cmd/bench/fleet/fleet.go
+++ b/cmd/bench/fleet/fleet.go
@@ -223,33 +223,6 @@
 	return file{name: agent.name + ".ini", body: body}
 }
 
-// CallerAddresses returns where the entries answer callers.
-func (plan Plan) CallerAddresses() []string {
-	var addresses []string
-	for number := range plan.Entries {
-		addresses = append(addresses, plan.address(portCallers, number))
-	}
-	return addresses
-}
-
-// OperatorAddresses returns where the entries answer operators.
-func (plan Plan) OperatorAddresses() []string {
-	var addresses []string
-	for number := range plan.Entries {
-		addresses = append(addresses, plan.address(portOperators, number))
-	}
-	return addresses
-}
-
-// EngineAddresses returns the backend servers' addresses by agent name.
-func (plan Plan) EngineAddresses() map[string]string {
-	addresses := map[string]string{}
-	for _, agent := range plan.agents() {
-		addresses[agent.name] = plan.address(portEngine, agent.number)
-	}
-	return addresses
-}
-
 // commandLine renders a process as one line of the process list: its name, the
 // address that answers GET /ready, and its arguments, separated by tabs.
 func (process Process) commandLine() string {
--- a/cmd/entry/assembly/adapters.go
+++ b/cmd/entry/assembly/adapters.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"firford/lib/configurations"
@@ -13,12 +12,8 @@
 	"firford/lib/rollouts"
 )
 
-const (
-	stateParallel = 32
-	stateTimeout  = 3 * time.Second
-	// stateUnreachable is reported for an agent that did not answer.
-	stateUnreachable = "unreachable"
-)
+// stateUnreachable is reported for an agent that did not answer.
+const stateUnreachable = "unreachable"
 
 type (
 	// engineLister asks the agents for the state of their engines.
@@ -44,30 +39,20 @@
 		return host.Role == hosts.RoleAgent && (deployment == "" || host.Deployment == deployment)
 	})
 	list := make([]operators.Engine, len(agents))
-	free := make(chan struct{}, stateParallel)
-	var asked sync.WaitGroup
-	for i, host := range agents {
-		free <- struct{}{}
-		asked.Go(func() {
-			defer func() { <-free }()
-			list[i] = lister.ask(ctx, host)
-		})
-	}
-	asked.Wait()
+	links.AskEach(ctx, lister.entry.options, agents, func(ctx context.Context, index int, link *links.Link, err error) {
+		list[index] = engineAt(ctx, agents[index], link, err)
+	})
 	return list, nil
 }
 
-func (lister engineLister) ask(ctx context.Context, host hosts.Host) operators.Engine {
-	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
-	defer cancel()
+// engineAt returns what an agent tells of its engine over the link, if there is one.
+func engineAt(ctx context.Context, host hosts.Host, link *links.Link, err error) operators.Engine {
 	engine := operators.Engine{
 		Host: host.Name, DataCentre: host.DataCentre, Deployment: host.Deployment, State: stateUnreachable,
 	}
-	link, err := links.Dial(ctx, host.Address, lister.entry.options)
 	if err != nil {
 		return engine
 	}
-	defer link.Close()
 	state, err := rollouts.FetchState(ctx, link)
 	if err != nil {
 		return engine
--- a/cmd/entry/assembly/burn.go
+++ b/cmd/entry/assembly/burn.go
@@ -12,7 +12,10 @@
 	"firford/lib/requests"
 )
 
-const peerDialTimeout = 2 * time.Second
+const (
+	peerDialTimeout = 2 * time.Second
+	dialParallel    = 32
+)
 
 type (
 	// burnObserver hands what the callers' API observes to the recorder.
@@ -77,7 +80,7 @@
 	})
 	var mutex sync.Mutex
 	var dials sync.WaitGroup
-	free := make(chan struct{}, stateParallel)
+	free := make(chan struct{}, dialParallel)
 	peers := map[string]*links.Link{}
 	for _, host := range others {
 		free <- struct{}{}
