--- a/cmd/agent/main.go
+++ b/cmd/agent/main.go
@@ -8,11 +8,14 @@
 	"github.com/alexflint/go-arg"
 
 	"firford/cmd/agent/assembly"
+	"firford/cmd/agent/routed"
 	"firford/lib/processes"
+	"firford/platform"
 )
 
 type arguments struct {
 	processes.Arguments
+	Routed bool `arg:"--routed" help:"serve the operator's routes on the users' platform"`
 }
 
 func (arguments) Description() string {
@@ -26,5 +29,9 @@
 func main() {
 	var given arguments
 	arg.MustParse(&given)
+	if given.Routed {
+		given.Arguments = given.WithSettings(platform.SettingsPath())
+		os.Exit(processes.Execute("agent", given.Arguments, processes.ReadRoutedAgent, routed.Run))
+	}
 	os.Exit(processes.Execute("agent", given.Arguments, processes.ReadAgent, assembly.Run))
 }
--- a/cmd/entry/main.go
+++ b/cmd/entry/main.go
@@ -8,11 +8,14 @@
 	"github.com/alexflint/go-arg"
 
 	"firford/cmd/entry/assembly"
+	"firford/cmd/entry/routed"
 	"firford/lib/processes"
+	"firford/platform"
 )
 
 type arguments struct {
 	processes.Arguments
+	Routed bool `arg:"--routed" help:"serve the operator's routes on the users' platform"`
 }
 
 func (arguments) Description() string {
@@ -26,5 +29,9 @@
 func main() {
 	var given arguments
 	arg.MustParse(&given)
+	if given.Routed {
+		given.Arguments = given.WithSettings(platform.SettingsPath())
+		os.Exit(processes.Execute("entry", given.Arguments, processes.ReadRoutedEntry, routed.Run))
+	}
 	os.Exit(processes.Execute("entry", given.Arguments, processes.ReadEntry, assembly.Run))
 }
--- /dev/null
+++ b/cmd/entry/routed/routed.go
@@ -0,0 +1,241 @@
+// Package routed joins the libraries into an entry that serves the routes of the
+// operator's configuration on the users' platform. It holds no decisions.
+package routed
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"firford/lib/gateways"
+	"firford/lib/loads"
+	"firford/lib/logs"
+	"firford/lib/metrics"
+	"firford/lib/placements"
+	"firford/lib/platform"
+	"firford/lib/probes"
+	"firford/lib/processes"
+	"firford/lib/routes"
+	adapter "firford/platform"
+)
+
+const (
+	// operatorWait and serverWait are how long polls of the store wait. A poll that
+	// brings nothing costs a call; a connection that goes silent is noticed by its
+	// keep-alive long before.
+	operatorWait = 5 * time.Second
+	serverWait   = 5 * time.Second
+	// serverSettle joins changes of servers that come together.
+	serverSettle = 50 * time.Millisecond
+	// versionMargin is how long before its due time a version is insisted on, for
+	// the way to the server and the wait there.
+	versionMargin = 700 * time.Millisecond
+	// unknownVersionTime is how long a version that was named at an unknown time
+	// before the process began may still take.
+	unknownVersionTime = 3 * time.Second
+	expireInterval     = 200 * time.Millisecond
+	// acceptTime is how long a leaving entry still takes connections: until the
+	// balancer has asked twice whether it is ready.
+	acceptTime = 2300 * time.Millisecond
+	// stopMargin is left of the stop time for the last answers.
+	stopMargin = 400 * time.Millisecond
+)
+
+// entry holds the parts of one process.
+type entry struct {
+	settings processes.RoutedEntry
+	logger   *zap.Logger
+	metrics  *metrics.Metrics
+	store    *adapter.Store
+	desk     *gateways.Desk
+	gateway  *gateways.Gateway
+	table    atomic.Pointer[routes.Table]
+	targets  atomic.Pointer[placements.Targets]
+	agents   atomic.Pointer[[]netip.AddrPort]
+	listed   atomic.Bool
+	leaving  atomic.Bool
+	began    bool
+}
+
+// Run runs an entry until the context ends and its requests have finished.
+func Run(ctx context.Context, settings processes.RoutedEntry) error {
+	logger, err := logs.NewTo(settings.LogLevel, settings.Name, logs.Output())
+	if err != nil {
+		return err
+	}
+	entry := &entry{
+		settings: settings,
+		logger:   logger,
+		metrics:  metrics.New("firford_entry"),
+		store:    adapter.NewStore(settings.PlatformAddress),
+		desk:     gateways.NewDesk(placements.NewFleet(settings.DataCentre)),
+	}
+	entry.table.Store(&routes.Table{})
+	entry.targets.Store(&placements.Targets{})
+	entry.agents.Store(&[]netip.AddrPort{})
+	entry.gateway = gateways.New(gateways.Dependencies{
+		Dialect: adapter.Dialect{},
+		Desk:    entry.desk,
+		Table:   func() routes.Table { return *entry.table.Load() },
+		Least:   func(model string, now time.Time) int { return entry.targets.Load().Least(model, now) },
+		Logger:  logger,
+		Scope:   entry.metrics.Scope,
+	})
+	defer func() { _ = entry.metrics.Close() }()
+	return entry.run(ctx)
+}
+
+func (entry *entry) run(ctx context.Context) error {
+	alive, end := context.WithCancel(context.Background())
+	defer end()
+	callers, err := net.Listen("tcp", entry.settings.Callers)
+	if err != nil {
+		return fmt.Errorf("listen for callers: %w", err)
+	}
+	datagrams, err := net.ListenPacket("udp", entry.settings.PeerAddress())
+	if err != nil {
+		return fmt.Errorf("listen for reports: %w", err)
+	}
+	group, alive := errgroup.WithContext(alive)
+	group.Go(func() error { return entry.gateway.Serve(callers) })
+	group.Go(func() error { return entry.probe(alive, entry.settings.Admin) })
+	group.Go(func() error { return entry.probe(alive, entry.settings.MetricsAddress()) })
+	go entry.follow(alive, adapter.OperatorTable, operatorWait, 0, entry.takeOperator)
+	go entry.follow(alive, adapter.ServerTable, serverWait, serverSettle, entry.takeServers)
+	go entry.expire(alive)
+	go loads.NewListener(datagrams, func() []netip.AddrPort { return *entry.agents.Load() }, entry.takeReport, entry.logger).Run(alive)
+	entry.logger.Info("started", zap.String("data_centre", entry.settings.DataCentre), zap.String("callers", entry.settings.Callers))
+	select {
+	case <-ctx.Done():
+	case <-alive.Done():
+		return group.Wait()
+	}
+	return entry.stop(end, group)
+}
+
+// stop lets the balancer notice, then waits for the running requests.
+func (entry *entry) stop(end func(), group *errgroup.Group) error {
+	limit := time.Now().Add(entry.settings.StopTime - stopMargin)
+	entry.logger.Info("stopping", zap.Int64("running", entry.gateway.Running()))
+	entry.leaving.Store(true)
+	entry.gateway.Leave()
+	time.Sleep(acceptTime)
+	ctx, cancel := context.WithDeadline(context.Background(), limit)
+	defer cancel()
+	err := entry.gateway.Shutdown(ctx)
+	entry.logger.Info("stopped", zap.Int64("running", entry.gateway.Running()), zap.Error(err))
+	end()
+	_ = group.Wait() // The listeners end with the context.
+	return nil
+}
+
+func (entry *entry) probe(ctx context.Context, address string) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return fmt.Errorf("listen for probes: %w", err)
+	}
+	return probes.New(entry.ready, entry.metrics.Handler).Serve(ctx, listener)
+}
+
+func (entry *entry) ready() (bool, string) {
+	switch {
+	case entry.leaving.Load():
+		return false, "leaving"
+	case entry.table.Load().Version() == 0:
+		return false, "no configuration yet"
+	case !entry.listed.Load():
+		return false, "no list of servers yet"
+	default:
+		return true, "ready"
+	}
+}
+
+func (entry *entry) follow(ctx context.Context, table string, wait, settle time.Duration, update func(platform.View)) {
+	platform.Watch{
+		Feed: entry.store, Table: table, Wait: wait, Settle: settle, Logger: entry.logger, Update: update,
+	}.Run(ctx)
+}
+
+// takeOperator takes the operator's configuration and the named versions.
+func (entry *entry) takeOperator(view platform.View) {
+	configuration, found, err := adapter.Configuration(view.Rows)
+	switch {
+	case err != nil:
+		entry.logger.Error("configuration not read", zap.Int64("revision", view.Revision), zap.Error(err))
+	case found && configuration.Version > entry.table.Load().Version():
+		table := routes.New(configuration)
+		entry.table.Store(&table)
+		entry.logger.Info("configuration in force", zap.Int64("version", configuration.Version), zap.Int64("revision", view.Revision))
+	}
+	named, problems := adapter.NamedVersions(view.Rows)
+	entry.logProblems(problems)
+	due := time.Now().Add(entry.settings.VersionTime - versionMargin)
+	if !entry.began {
+		due = time.Now().Add(unknownVersionTime)
+	}
+	entry.began = true
+	targets := *entry.targets.Load()
+	for _, version := range named {
+		targets = targets.With(version.Model, version.Version, due)
+	}
+	entry.targets.Store(&targets)
+}
+
+func (entry *entry) logProblems(problems []error) {
+	for _, problem := range problems {
+		entry.logger.Warn("row not read", zap.Error(problem))
+	}
+}
+
+// takeServers takes the list of backend servers.
+func (entry *entry) takeServers(view platform.View) {
+	servers, problems := adapter.Servers(view.Rows)
+	entry.logProblems(problems)
+	entry.desk.Change(func(fleet *placements.Fleet, now time.Time) { fleet.List(servers, view.Resumed, now) })
+	known := map[string]bool{}
+	var agents []netip.AddrPort
+	for _, server := range servers {
+		known[server.ID] = true
+		if service, found := entry.table.Load().Service(server.Service); found && service.Engine == nil {
+			continue
+		}
+		agents = append(agents, agentAddress(server, entry.settings.PeerPort))
+	}
+	entry.agents.Store(&agents)
+	entry.gateway.KeepServers(known)
+	entry.listed.Store(true)
+	entry.logger.Info("servers listed", zap.Int("servers", len(servers)), zap.Int64("revision", view.Revision))
+}
+
+// agentAddress returns where the agent beside the server is: on its machine, at
+// the port that all processes use.
+func agentAddress(server placements.Server, port int) netip.AddrPort {
+	address, err := netip.ParseAddrPort(server.Address)
+	if err != nil {
+		panic("unchecked address " + server.Address + " port " + strconv.Itoa(port))
+	}
+	return netip.AddrPortFrom(address.Addr(), uint16(port))
+}
+
+func (entry *entry) takeReport(report placements.Report) {
+	entry.desk.Change(func(fleet *placements.Fleet, now time.Time) { fleet.Report(report, now) })
+}
+
+func (entry *entry) expire(ctx context.Context) {
+	for tick := time.NewTicker(expireInterval); ; {
+		select {
+		case <-ctx.Done():
+			tick.Stop()
+			return
+		case <-tick.C:
+			entry.desk.Change(func(fleet *placements.Fleet, now time.Time) { fleet.Expire(now) })
+		}
+	}
+}
--- /dev/null
+++ b/lib/gateways/desk.go
@@ -0,0 +1,217 @@
+package gateways
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"firford/lib/backends"
+	"firford/lib/placements"
+)
+
+const (
+	// engineAllowance is how many requests beyond its slots an engine is given, so
+	// that a slot that becomes free is taken at once.
+	engineAllowance = 1
+	// serviceAllowance is the same for a plain service.
+	serviceAllowance = 0
+	// leastRetryAfter keeps callers from coming back before anything has changed.
+	leastRetryAfter = 200 * time.Millisecond
+)
+
+type (
+	// Desk places requests at backend servers. Requests without a place wait in
+	// the line of their service. It is safe for concurrent use.
+	Desk struct {
+		mutex   sync.Mutex
+		fleet   *placements.Fleet
+		lines   map[string]placements.Line
+		paces   map[string]placements.Pace
+		budgets map[string]backends.RetryBudget
+		granted map[uint64]chan placements.Server
+		number  uint64
+	}
+
+	// refusal tells why a request got no place and after which time it should come
+	// back.
+	refusal struct {
+		reason string
+		after  time.Duration
+	}
+)
+
+func (refusal *refusal) Error() string {
+	return fmt.Sprintf("%s, come back in %s", refusal.reason, refusal.after)
+}
+
+// NewDesk returns a desk that places at the fleet.
+func NewDesk(fleet *placements.Fleet) *Desk {
+	return &Desk{
+		fleet:   fleet,
+		lines:   map[string]placements.Line{},
+		paces:   map[string]placements.Pace{},
+		budgets: map[string]backends.RetryBudget{},
+		granted: map[uint64]chan placements.Server{},
+	}
+}
+
+// Change lets a function change the fleet and then places those that wait.
+func (desk *Desk) Change(change func(fleet *placements.Fleet, now time.Time)) {
+	desk.mutex.Lock()
+	defer desk.mutex.Unlock()
+	now := time.Now()
+	change(desk.fleet, now)
+	for service := range desk.lines {
+		desk.dispatch(service, now)
+	}
+}
+
+// Len returns how many servers are known.
+func (desk *Desk) Len() int {
+	desk.mutex.Lock()
+	defer desk.mutex.Unlock()
+	return desk.fleet.Len()
+}
+
+// place returns a server with room for the request, waiting for one until the
+// waiter has to start. The error is a *refusal unless the context ended first.
+// Each placed request has to be given back with end.
+func (desk *Desk) place(ctx context.Context, waiter placements.Waiter) (placements.Server, error) {
+	server, grant, number, err := desk.ask(waiter)
+	if err != nil || grant == nil {
+		return server, err
+	}
+	timer := time.NewTimer(time.Until(waiter.StartBy))
+	defer timer.Stop()
+	select {
+	case server := <-grant:
+		return server, nil
+	case <-timer.C:
+		err = desk.refuse(waiter, "no place in time")
+	case <-ctx.Done():
+		err = context.Cause(ctx)
+	}
+	if server, placed := desk.leave(waiter.Need.Service, number, grant); placed {
+		if ctx.Err() == nil {
+			return server, nil
+		}
+		desk.end(server, placements.Abandoned)
+	}
+	return placements.Server{}, err
+}
+
+// ask places the request at once, refuses it or puts it into the line.
+func (desk *Desk) ask(waiter placements.Waiter) (placements.Server, chan placements.Server, uint64, error) {
+	desk.mutex.Lock()
+	defer desk.mutex.Unlock()
+	now := time.Now()
+	service := waiter.Need.Service
+	ahead := desk.lines[service].Ahead(waiter)
+	if ahead == 0 {
+		if server, found := desk.start(waiter.Need, now); found {
+			return server, nil, 0, nil
+		}
+	}
+	wait := desk.paces[service].Until(ahead, now)
+	if now.Add(wait).After(waiter.StartBy) {
+		return placements.Server{}, nil, 0, desk.refusalAfter(wait, "too many wait")
+	}
+	desk.number++
+	waiter.Number = desk.number
+	grant := make(chan placements.Server, 1)
+	desk.granted[waiter.Number] = grant
+	desk.lines[service] = desk.lines[service].With(waiter)
+	return placements.Server{}, grant, waiter.Number, nil
+}
+
+func (desk *Desk) refusalAfter(wait time.Duration, reason string) error {
+	return &refusal{reason: reason, after: max(leastRetryAfter, wait)}
+}
+
+func (desk *Desk) refuse(waiter placements.Waiter, reason string) error {
+	desk.mutex.Lock()
+	defer desk.mutex.Unlock()
+	now := time.Now()
+	service := waiter.Need.Service
+	return desk.refusalAfter(desk.paces[service].Until(len(desk.lines[service].Waiters()), now), reason)
+}
+
+func (desk *Desk) start(need placements.Need, now time.Time) (placements.Server, bool) {
+	allowance := serviceAllowance
+	if need.Model != "" {
+		allowance = engineAllowance
+	}
+	server, found := desk.fleet.Choose(need, allowance, now, rand.Float64)
+	if found {
+		desk.fleet.Start(server.ID)
+		desk.paces[need.Service] = desk.paces[need.Service].WithStart(now)
+	}
+	return server, found
+}
+
+func (desk *Desk) dispatch(service string, now time.Time) {
+	for _, waiter := range desk.lines[service].Waiters() {
+		server, found := desk.start(waiter.Need, now)
+		if !found {
+			if len(waiter.Need.Tried) > 0 {
+				continue
+			}
+			return
+		}
+		desk.lines[service] = desk.lines[service].Without(waiter.Number)
+		desk.granted[waiter.Number] <- server
+		delete(desk.granted, waiter.Number)
+	}
+}
+
+// leave takes a waiter out of the line, unless it has been placed meanwhile.
+func (desk *Desk) leave(service string, number uint64, grant chan placements.Server) (placements.Server, bool) {
+	desk.mutex.Lock()
+	defer desk.mutex.Unlock()
+	desk.lines[service] = desk.lines[service].Without(number)
+	delete(desk.granted, number)
+	select {
+	case server := <-grant:
+		return server, true
+	default:
+		return placements.Server{}, false
+	}
+}
+
+// end gives a place back.
+func (desk *Desk) end(server placements.Server, outcome placements.Outcome) {
+	desk.mutex.Lock()
+	defer desk.mutex.Unlock()
+	now := time.Now()
+	desk.fleet.End(server.ID, outcome, now)
+	desk.dispatch(server.Service, now)
+}
+
+// reply records the time to the first event or answer of a request.
+func (desk *Desk) reply(server placements.Server, after time.Duration) {
+	desk.mutex.Lock()
+	defer desk.mutex.Unlock()
+	desk.fleet.Reply(server.ID, after)
+}
+
+// arrive counts a request of a caller for the retry budget of its service.
+func (desk *Desk) arrive(service string) {
+	desk.mutex.Lock()
+	defer desk.mutex.Unlock()
+	budget, known := desk.budgets[service]
+	if !known {
+		budget = backends.NewRetryBudget()
+	}
+	desk.budgets[service] = budget.WithRequest()
+}
+
+// mayRepeat takes one retry from the budget of the service.
+func (desk *Desk) mayRepeat(service string) bool {
+	desk.mutex.Lock()
+	defer desk.mutex.Unlock()
+	budget, allowed := desk.budgets[service].WithRetry()
+	desk.budgets[service] = budget
+	return allowed
+}
--- /dev/null
+++ b/lib/gateways/gateway.go
@@ -0,0 +1,201 @@
+package gateways
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"firford/lib/placements"
+	"firford/lib/routes"
+)
+
+const (
+	// headerTimeout bounds how long a caller may take to send the head of a request.
+	headerTimeout = 10 * time.Second
+	// idleTimeout is above the longest time that callers keep an idle connection,
+	// so that the callers and not the gateway close it.
+	idleTimeout = 2 * time.Minute
+	// headerBytes bounds the head of a request.
+	headerBytes = 64 << 10
+	// mostAnswerBytes bounds an answer that is kept until it is whole.
+	mostAnswerBytes = 16 << 20
+	// answerMargin is left to a server's own answer at the deadline.
+	answerMargin = 40 * time.Millisecond
+	// defaultTimeout is used where neither the caller nor the route names one.
+	defaultTimeout = 30 * time.Second
+	// unreadyRetryAfter is when callers come back to a gateway without configuration.
+	unreadyRetryAfter = 300 * time.Millisecond
+)
+
+type (
+	// Dependencies are what a gateway needs. Least returns the oldest version of a
+	// model that may still begin a request.
+	Dependencies struct {
+		Dialect Dialect
+		Desk    *Desk
+		Table   func() routes.Table
+		Least   func(model string, now time.Time) int
+		Logger  *zap.Logger
+		Scope   tally.Scope
+	}
+
+	// Gateway answers callers.
+	Gateway struct {
+		Dependencies
+		pool    *pool
+		leaving atomic.Bool
+		running atomic.Int64
+		server  *http.Server
+	}
+)
+
+// New returns a gateway.
+func New(given Dependencies) *Gateway {
+	gateway := &Gateway{Dependencies: given, pool: newPool()}
+	gateway.server = &http.Server{
+		Handler:           gateway,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    headerBytes,
+		ErrorLog:          zap.NewStdLog(given.Logger.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
+	}
+	return gateway
+}
+
+// Serve answers on the listener until Shutdown.
+func (gateway *Gateway) Serve(listener net.Listener) error {
+	if err := gateway.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// Leave makes every answer from now on end its connection, so that callers
+// come back on another one.
+func (gateway *Gateway) Leave() { gateway.leaving.Store(true) }
+
+// Running returns how many requests are being answered.
+func (gateway *Gateway) Running() int64 { return gateway.running.Load() }
+
+// Shutdown stops to listen and waits until the running requests have ended.
+func (gateway *Gateway) Shutdown(ctx context.Context) error { return gateway.server.Shutdown(ctx) }
+
+// KeepServers closes idle connections to all servers but the known ones.
+func (gateway *Gateway) KeepServers(known map[string]bool) { gateway.pool.keep(known) }
+
+// ServeHTTP implements http.Handler.
+func (gateway *Gateway) ServeHTTP(writer http.ResponseWriter, received *http.Request) {
+	gateway.running.Add(1)
+	defer gateway.running.Add(-1)
+	if gateway.leaving.Load() {
+		writer.Header().Set("Connection", "close")
+	}
+	now := time.Now()
+	request := &request{
+		gateway:  gateway,
+		writer:   writer,
+		received: received,
+		call:     gateway.Dialect.Call(received.Header, now),
+		arrived:  now,
+	}
+	request.serve()
+}
+
+// request is one request of a caller on its way through the gateway.
+type request struct {
+	gateway  *Gateway
+	writer   http.ResponseWriter
+	received *http.Request
+	call     Call
+	match    routes.Match
+	service  string
+	body     []byte
+	arrived  time.Time
+	deadline time.Time
+	// tried names the servers that got the request; sent counts them.
+	tried []string
+	sent  int
+	// mayHaveRun is set once a server may have run the request.
+	mayHaveRun bool
+	// streaming is set once the head of an answer was passed on; lastEvent is the
+	// last event that the caller got.
+	streaming bool
+	lastEvent string
+}
+
+func (request *request) serve() {
+	table := request.gateway.Table()
+	if table.Version() == 0 {
+		request.refuse("no configuration yet", unreadyRetryAfter)
+		return
+	}
+	path, _, _ := strings.Cut(request.received.RequestURI, "?")
+	match, err := table.Match(request.received.Host, path, request.call.Key)
+	if err != nil {
+		request.reject(err)
+		return
+	}
+	request.match = match
+	request.service = match.Route.Service(rand.Float64())
+	request.deadline = request.end()
+	if !request.readBody(table.Limits().BodyBytes) {
+		return
+	}
+	ctx, cancel := context.WithDeadline(request.received.Context(), request.deadline.Add(answerMargin))
+	defer cancel()
+	request.gateway.Desk.arrive(request.service)
+	request.run(ctx)
+}
+
+// end returns when the request must have its answer: by the caller's deadline
+// or the route's timeout, whichever comes first.
+func (request *request) end() time.Time {
+	timeout := request.match.Route.Timeout
+	if timeout <= 0 {
+		timeout = defaultTimeout
+	}
+	end := request.arrived.Add(timeout)
+	if !request.call.Deadline.IsZero() && request.call.Deadline.Before(end) {
+		return request.call.Deadline
+	}
+	return end
+}
+
+// readBody reads the whole body before anything is sent on, so that a caller
+// who breaks off never leaves half a request at a server.
+func (request *request) readBody(limit int64) bool {
+	control := http.NewResponseController(request.writer)
+	_ = control.SetReadDeadline(request.deadline) // Fails only on writers that have no connection.
+	body, err := io.ReadAll(http.MaxBytesReader(request.writer, request.received.Body, limit))
+	if err != nil {
+		var tooLarge *http.MaxBytesError
+		if errors.As(err, &tooLarge) {
+			request.answer(http.StatusRequestEntityTooLarge, "body too large", 0)
+			return false
+		}
+		request.log("request not read", zap.Error(err))
+		panic(http.ErrAbortHandler)
+	}
+	_ = control.SetReadDeadline(time.Time{})
+	request.body = body
+	return true
+}
+
+// waiter returns the request as one that waits for a place.
+func (request *request) waiter(startBy time.Time) placements.Waiter {
+	need := placements.Need{Service: request.service, Tried: request.tried}
+	if request.call.Model != "" {
+		need.Model = request.call.Model
+		need.LeastVersion = request.gateway.Least(need.Model, time.Now())
+	}
+	return placements.Waiter{Priority: request.match.Priority(), StartBy: startBy, Need: need}
+}
--- /dev/null
+++ b/lib/gateways/headers.go
@@ -0,0 +1,40 @@
+package gateways
+
+import (
+	"bytes"
+	"net/http"
+	"net/textproto"
+	"strconv"
+	"strings"
+)
+
+// passedOn returns a copy of the headers without those that concern one
+// connection, including the ones that its Connection header names.
+func passedOn(header http.Header) http.Header {
+	copied := header.Clone()
+	for _, list := range header["Connection"] {
+		for _, name := range strings.Split(list, ",") {
+			delete(copied, textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name)))
+		}
+	}
+	for _, name := range connectionHeaders {
+		delete(copied, name)
+	}
+	return copied
+}
+
+// writeRequest appends the request as HTTP/1.1 bytes. The target is written as
+// the caller sent it.
+func writeRequest(buffer *bytes.Buffer, method, target, host string, header http.Header, body []byte) {
+	buffer.WriteString(method + " " + target + " HTTP/1.1\r\nHost: " + host + "\r\n")
+	for name, values := range header {
+		for _, value := range values {
+			buffer.WriteString(name + ": " + value + "\r\n")
+		}
+	}
+	if len(body) > 0 || method == http.MethodPost || method == http.MethodPut || method == http.MethodPatch {
+		buffer.WriteString("Content-Length: " + strconv.Itoa(len(body)) + "\r\n")
+	}
+	buffer.WriteString("\r\n")
+	buffer.Write(body)
+}
--- /dev/null
+++ b/lib/loads/loads.go
@@ -0,0 +1,197 @@
+// Package loads carries the load of backend servers from the agents beside them
+// to the entries.
+//
+// Reports are datagrams: a newer report replaces an older one, so a lost one
+// needs no repetition, and there is no connection that can go silent. Entries
+// subscribe at every agent each second; an agent forgets an entry that has
+// stopped to do so. A report has about 120 bytes.
+package loads
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"firford/lib/placements"
+)
+
+const (
+	subscribeInterval = time.Second
+	// subscriptionLifetime lets two subscriptions in a row get lost.
+	subscriptionLifetime = 3500 * time.Millisecond
+	// refreshInterval is how often an unchanged report is sent again.
+	refreshInterval = 450 * time.Millisecond
+	datagramBytes   = 2048
+)
+
+type (
+	// message is the only datagram. Subscribe is set by entries, Report by agents.
+	message struct {
+		Subscribe bool    `json:"subscribe,omitempty"`
+		Report    *report `json:"report,omitempty"`
+	}
+
+	report struct {
+		Server   string         `json:"server"`
+		Born     int64          `json:"born"`
+		Running  int            `json:"running"`
+		Queued   int            `json:"queued"`
+		Closed   bool           `json:"closed,omitempty"`
+		Versions map[string]int `json:"versions,omitempty"`
+	}
+
+	// Listener receives the reports at an entry.
+	Listener struct {
+		conn   net.PacketConn
+		agents func() []netip.AddrPort
+		take   func(placements.Report)
+		logger *zap.Logger
+	}
+
+	// Reporter sends the reports of an agent. It is safe for concurrent use.
+	Reporter struct {
+		conn        net.PacketConn
+		logger      *zap.Logger
+		mutex       sync.Mutex
+		subscribers map[netip.AddrPort]time.Time
+		last        placements.Report
+		lastSent    time.Time
+	}
+)
+
+// NewListener returns a listener that subscribes at the agents and hands their
+// reports to take.
+func NewListener(conn net.PacketConn, agents func() []netip.AddrPort, take func(placements.Report), logger *zap.Logger) *Listener {
+	return &Listener{conn: conn, agents: agents, take: take, logger: logger}
+}
+
+// Run receives until the context ends.
+func (listener *Listener) Run(ctx context.Context) {
+	go listener.subscribe(ctx)
+	receive(ctx, listener.conn, listener.logger, func(got message, _ netip.AddrPort) {
+		if got.Report != nil {
+			listener.take(placements.Report{
+				Server: got.Report.Server, Born: got.Report.Born, Running: got.Report.Running,
+				Queued: got.Report.Queued, Closed: got.Report.Closed, Versions: got.Report.Versions,
+			})
+		}
+	})
+}
+
+func (listener *Listener) subscribe(ctx context.Context) {
+	known := map[netip.AddrPort]time.Time{}
+	for tick := time.NewTicker(subscribeInterval / 10); ; {
+		now := time.Now()
+		for _, agent := range listener.agents() {
+			if now.Sub(known[agent]) < subscribeInterval {
+				continue
+			}
+			known[agent] = now
+			send(listener.conn, agent, message{Subscribe: true}, listener.logger)
+		}
+		select {
+		case <-ctx.Done():
+			tick.Stop()
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+// NewReporter returns a reporter without subscribers.
+func NewReporter(conn net.PacketConn, logger *zap.Logger) *Reporter {
+	return &Reporter{conn: conn, logger: logger, subscribers: map[netip.AddrPort]time.Time{}}
+}
+
+// Run takes subscriptions until the context ends.
+func (reporter *Reporter) Run(ctx context.Context) {
+	receive(ctx, reporter.conn, reporter.logger, func(got message, from netip.AddrPort) {
+		if !got.Subscribe {
+			return
+		}
+		reporter.mutex.Lock()
+		_, known := reporter.subscribers[from]
+		reporter.subscribers[from] = time.Now().Add(subscriptionLifetime)
+		last := reporter.last
+		reporter.mutex.Unlock()
+		if !known && last.Server != "" {
+			reporter.sendTo([]netip.AddrPort{from}, last)
+		}
+	})
+}
+
+// Report sends the report to all subscribers if it differs from the last one or
+// the last one is old.
+func (reporter *Reporter) Report(next placements.Report) {
+	now := time.Now()
+	reporter.mutex.Lock()
+	if equal(next, reporter.last) && now.Sub(reporter.lastSent) < refreshInterval {
+		reporter.mutex.Unlock()
+		return
+	}
+	reporter.last, reporter.lastSent = next, now
+	var to []netip.AddrPort
+	for entry, until := range reporter.subscribers {
+		if now.After(until) {
+			delete(reporter.subscribers, entry)
+			continue
+		}
+		to = append(to, entry)
+	}
+	reporter.mutex.Unlock()
+	reporter.sendTo(to, next)
+}
+
+func equal(left, right placements.Report) bool {
+	return left.Server == right.Server && left.Born == right.Born && left.Running == right.Running &&
+		left.Queued == right.Queued && left.Closed == right.Closed && maps.Equal(left.Versions, right.Versions)
+}
+
+func (reporter *Reporter) sendTo(entries []netip.AddrPort, next placements.Report) {
+	wire := message{Report: &report{
+		Server: next.Server, Born: next.Born, Running: next.Running,
+		Queued: next.Queued, Closed: next.Closed, Versions: next.Versions,
+	}}
+	for _, entry := range entries {
+		send(reporter.conn, entry, wire, reporter.logger)
+	}
+}
+
+func send(conn net.PacketConn, to netip.AddrPort, wire message, logger *zap.Logger) {
+	encoded, err := json.Marshal(wire)
+	if err != nil {
+		logger.Error("load report not encoded", zap.Error(err))
+		return
+	}
+	if _, err := conn.WriteTo(encoded, net.UDPAddrFromAddrPort(to)); err != nil {
+		logger.Debug("load datagram not sent", zap.Stringer("to", to), zap.Error(err))
+	}
+}
+
+func receive(ctx context.Context, conn net.PacketConn, logger *zap.Logger, handle func(message, netip.AddrPort)) {
+	context.AfterFunc(ctx, func() { _ = conn.Close() })
+	buffer := make([]byte, datagramBytes)
+	for {
+		count, from, err := conn.ReadFrom(buffer)
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			logger.Debug("load datagram not received", zap.Error(err))
+			continue
+		}
+		var got message
+		if err := json.Unmarshal(buffer[:count], &got); err != nil {
+			logger.Debug("load datagram not decoded", zap.Error(err))
+			continue
+		}
+		address := from.(*net.UDPAddr).AddrPort()
+		handle(got, netip.AddrPortFrom(address.Addr().Unmap(), address.Port()))
+	}
+}
--- a/lib/logs/logs.go
+++ b/lib/logs/logs.go
@@ -14,6 +14,11 @@
 // New returns a logger at the level (debug, info, warn or error) that puts the
 // process name on every line.
 func New(level, process string) (*zap.Logger, error) {
+	return NewTo(level, process, zapcore.Lock(os.Stderr))
+}
+
+// NewTo is New for another output.
+func NewTo(level, process string, output zapcore.WriteSyncer) (*zap.Logger, error) {
 	parsed, err := zapcore.ParseLevel(level)
 	if err != nil {
 		return nil, fmt.Errorf("log level: %w", err)
@@ -22,7 +27,7 @@
 	encoding.EncodeTime = zapcore.RFC3339NanoTimeEncoder
 	encoding.MessageKey = "event"
 	encoding.TimeKey = "time"
-	core := zapcore.NewCore(zaplogfmt.NewEncoder(encoding), zapcore.Lock(os.Stderr), parsed)
+	core := zapcore.NewCore(zaplogfmt.NewEncoder(encoding), output, parsed)
 	return zap.New(core).With(zap.String("process", process)), nil
 }
 
@@ -37,3 +42,6 @@
 
 // Revision names the configuration revision that an event belongs to.
 func Revision(number int64) zap.Field { return zap.Int64("revision", number) }
+
+// Output returns standard output as the place that a routed process logs to.
+func Output() zapcore.WriteSyncer { return zapcore.Lock(os.Stdout) }
--- /dev/null
+++ b/lib/placements/fleet.go
@@ -0,0 +1,205 @@
+// Package placements decides which backend server a request goes to, how long
+// it may wait for a place, and when it is refused instead.
+//
+// Entries share no queue: each sees its own requests at once and all others
+// through the reports of the agents, which are some ten milliseconds old. A
+// server takes as many requests as it has slots and a small allowance, so that
+// it never idles and hardly ever turns a request away. Waiting at the entry
+// instead of at the server leaves every place open to the most urgent request.
+package placements
+
+import (
+	"time"
+)
+
+const (
+	// distanceCost is what another data centre counts in the choice, in requests:
+	// its bytes are priced and its delay is a few milliseconds, which matters less
+	// than one request more at the server.
+	distanceCost = 0.6
+	// slownessCost is what a reply time of twice the fleet's usual one counts in
+	// the choice, in requests.
+	slownessCost = 2.0
+	// lapseGrace is how long a server stays in use that the platform's list lost
+	// while the store was away: servers that live are listed again by then.
+	lapseGrace = 1800 * time.Millisecond
+)
+
+type (
+	// Need is what a request asks of a server. LeastVersion is zero where any
+	// version will do. Tried names the servers that have had the request.
+	Need struct {
+		Service      string
+		Model        string
+		LeastVersion int
+		Tried        []string
+	}
+
+	// Fleet is what an entry knows of all backend servers. It is not safe for
+	// concurrent use.
+	Fleet struct {
+		dataCentre string
+		standings  map[string]Standing
+		byService  map[string][]string
+		lapsing    map[string]time.Time
+	}
+)
+
+// NewFleet returns the fleet of an entry in the data centre.
+func NewFleet(dataCentre string) *Fleet {
+	return &Fleet{
+		dataCentre: dataCentre,
+		standings:  map[string]Standing{},
+		byService:  map[string][]string{},
+		lapsing:    map[string]time.Time{},
+	}
+}
+
+// List takes the platform's list of servers. Resumed is when the store last
+// came back from an outage. Servers that are missing are dropped, at once or
+// when the grace after an outage has passed.
+func (fleet *Fleet) List(servers []Server, resumed, now time.Time) {
+	listed := map[string]bool{}
+	for _, server := range servers {
+		listed[server.ID] = true
+		delete(fleet.lapsing, server.ID)
+		fleet.standings[server.ID] = fleet.standings[server.ID].WithServer(server)
+	}
+	for id, standing := range fleet.standings {
+		if listed[id] {
+			continue
+		}
+		keepUntil := resumed.Add(lapseGrace)
+		if now.Before(keepUntil) && !standing.Server.Draining {
+			fleet.lapsing[id] = keepUntil
+			continue
+		}
+		delete(fleet.standings, id)
+	}
+	fleet.index()
+}
+
+// Expire drops the servers whose grace has passed.
+func (fleet *Fleet) Expire(now time.Time) {
+	for id, keepUntil := range fleet.lapsing {
+		if now.Before(keepUntil) {
+			continue
+		}
+		delete(fleet.lapsing, id)
+		delete(fleet.standings, id)
+		fleet.index()
+	}
+}
+
+func (fleet *Fleet) index() {
+	fleet.byService = map[string][]string{}
+	for id, standing := range fleet.standings {
+		fleet.byService[standing.Server.Service] = append(fleet.byService[standing.Server.Service], id)
+	}
+}
+
+// Report takes the report of an agent.
+func (fleet *Fleet) Report(report Report, now time.Time) {
+	if standing, known := fleet.standings[report.Server]; known {
+		fleet.standings[report.Server] = standing.WithReport(report, now)
+	}
+}
+
+// Start records that a request is sent to the server.
+func (fleet *Fleet) Start(id string) {
+	if standing, known := fleet.standings[id]; known {
+		fleet.standings[id] = standing.WithStart()
+	}
+}
+
+// Reply records the time to the first event of a request.
+func (fleet *Fleet) Reply(id string, after time.Duration) {
+	if standing, known := fleet.standings[id]; known {
+		fleet.standings[id] = standing.WithReply(after)
+	}
+}
+
+// End records that a request ended at the server.
+func (fleet *Fleet) End(id string, outcome Outcome, now time.Time) {
+	if standing, known := fleet.standings[id]; known {
+		fleet.standings[id] = standing.WithEnd(outcome, now)
+	}
+}
+
+// Len returns how many servers are known.
+func (fleet *Fleet) Len() int { return len(fleet.standings) }
+
+// Usable counts the servers that could take the request if they had room.
+func (fleet *Fleet) Usable(need Need, now time.Time) int {
+	count := 0
+	for _, id := range fleet.byService[need.Service] {
+		if fleet.fits(fleet.standings[id], need, now) {
+			count++
+		}
+	}
+	return count
+}
+
+// Choose returns the server with the least expected wait that has room, or
+// false. Chance is between 0 (included) and 1 (excluded) and decides between
+// equals, so that entries that see the same reports do not all choose the same.
+func (fleet *Fleet) Choose(need Need, allowance int, now time.Time, chance func() float64) (Server, bool) {
+	usual := fleet.usualReply(need.Service)
+	var best Server
+	bestCost, found := 0.0, false
+	for _, id := range fleet.byService[need.Service] {
+		standing := fleet.standings[id]
+		if !fleet.fits(standing, need, now) || standing.room(allowance, now) <= 0 {
+			continue
+		}
+		cost := fleet.cost(standing, usual, now) + chance()
+		if !found || cost < bestCost {
+			best, bestCost, found = standing.Server, cost, true
+		}
+	}
+	return best, found
+}
+
+func (fleet *Fleet) fits(standing Standing, need Need, now time.Time) bool {
+	if standing.isClosed(now) {
+		return false
+	}
+	for _, id := range need.Tried {
+		if id == standing.Server.ID {
+			return false
+		}
+	}
+	if need.Model == "" {
+		return true
+	}
+	version, held := standing.versions(now)[need.Model]
+	return held && version >= need.LeastVersion
+}
+
+// cost weighs a server in requests that wait before a new one.
+func (fleet *Fleet) cost(standing Standing, usual time.Duration, now time.Time) float64 {
+	cost := float64(standing.load(now))
+	if standing.Server.DataCentre != fleet.dataCentre {
+		cost += distanceCost
+	}
+	if usual > 0 && standing.replyTime > usual {
+		cost += slownessCost * (float64(standing.replyTime)/float64(usual) - 1)
+	}
+	return cost
+}
+
+// usualReply returns the mean smoothed reply time of a service.
+func (fleet *Fleet) usualReply(service string) time.Duration {
+	var sum time.Duration
+	count := 0
+	for _, id := range fleet.byService[service] {
+		if reply := fleet.standings[id].replyTime; reply > 0 {
+			sum += reply
+			count++
+		}
+	}
+	if count == 0 {
+		return 0
+	}
+	return sum / time.Duration(count)
+}
--- /dev/null
+++ b/lib/placements/line.go
@@ -0,0 +1,101 @@
+package placements
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// paceWindow is the span over which the pace of starts is counted.
+	paceWindow = time.Second
+	// leastPace is assumed while nothing is known, in starts a second.
+	leastPace = 2.0
+)
+
+type (
+	// Waiter is a request that waits for a place. StartBy is the latest time at
+	// which it still meets its target; a request that is not placed by then is
+	// refused.
+	Waiter struct {
+		Number   uint64
+		Priority int
+		StartBy  time.Time
+		Need     Need
+	}
+
+	// Line is the waiting line of one service: the highest rank first, within a
+	// rank whoever has to start first. It is immutable.
+	Line struct {
+		waiters []Waiter
+	}
+
+	// Pace counts how many requests a service of this entry started of late. It is
+	// immutable.
+	Pace struct {
+		starts []time.Time
+	}
+)
+
+// With returns the line with one more waiter.
+func (line Line) With(waiter Waiter) Line {
+	at := len(line.waiters)
+	for i, other := range line.waiters {
+		if waiter.before(other) {
+			at = i
+			break
+		}
+	}
+	return Line{waiters: slices.Insert(slices.Clone(line.waiters), at, waiter)}
+}
+
+// Without returns the line without the waiter.
+func (line Line) Without(number uint64) Line {
+	at := slices.IndexFunc(line.waiters, func(waiter Waiter) bool { return waiter.Number == number })
+	if at < 0 {
+		return line
+	}
+	return Line{waiters: slices.Delete(slices.Clone(line.waiters), at, at+1)}
+}
+
+// Waiters returns the waiters in order. The slice must not be changed.
+func (line Line) Waiters() []Waiter { return line.waiters }
+
+// Ahead counts the waiters that come before a new one.
+func (line Line) Ahead(waiter Waiter) int {
+	count := 0
+	for _, other := range line.waiters {
+		if !waiter.before(other) {
+			count++
+		}
+	}
+	return count
+}
+
+func (waiter Waiter) before(other Waiter) bool {
+	if waiter.Priority != other.Priority {
+		return waiter.Priority < other.Priority
+	}
+	return waiter.StartBy.Before(other.StartBy)
+}
+
+// WithStart returns the pace after one more start.
+func (pace Pace) WithStart(now time.Time) Pace {
+	return Pace{starts: append(pace.recent(now), now)}
+}
+
+func (pace Pace) recent(now time.Time) []time.Time {
+	from := now.Add(-paceWindow)
+	at, _ := slices.BinarySearchFunc(pace.starts, from, func(start, from time.Time) int { return start.Compare(from) })
+	return slices.Clone(pace.starts[at:])
+}
+
+// PerSecond returns the starts of the last second.
+func (pace Pace) PerSecond(now time.Time) float64 {
+	return max(leastPace, float64(len(pace.recent(now)))/paceWindow.Seconds())
+}
+
+// Until returns how long it takes at the present pace until a waiter with so
+// many others ahead has its turn.
+func (pace Pace) Until(ahead int, now time.Time) time.Duration {
+	return time.Duration(float64(ahead+1) / pace.PerSecond(now) * float64(time.Second))
+}
--- /dev/null
+++ b/lib/placements/standing.go
@@ -0,0 +1,189 @@
+package placements
+
+import "time"
+
+const (
+	// reportLifetime is how long a report of an agent counts. Agents report at
+	// least twice in this time, so a single lost datagram does not matter.
+	reportLifetime = 1500 * time.Millisecond
+	// firstClosure and longClosure bound how long a server gets no requests after
+	// failures in a row; each failure doubles the time.
+	firstClosure = 400 * time.Millisecond
+	longClosure  = 4 * time.Second
+	// fullClosure is how long a server that turned a request away counts as full.
+	fullClosure = 60 * time.Millisecond
+	// toleratedFailures is how many failures in a row do not close a server yet,
+	// since some requests fail by themselves.
+	toleratedFailures = 1
+	// blindShare is the part of a server's slots that one entry uses when it does
+	// not know what the others send there.
+	blindShare = 0.25
+	// slowReply is the weight of the newest reply in a server's smoothed reply time.
+	slowReply = 0.2
+)
+
+type (
+	// Server is a backend server as the platform lists it. Versions holds the
+	// version of each model that it serves.
+	Server struct {
+		ID         string
+		Service    string
+		Address    string
+		DataCentre string
+		Slots      int
+		Draining   bool
+		Versions   map[string]int
+	}
+
+	// Report is what the agent beside a server says of it. A report of another
+	// start of the server than the one before begins anew.
+	Report struct {
+		Server   string
+		Born     int64
+		Running  int
+		Queued   int
+		Closed   bool
+		Versions map[string]int
+	}
+
+	// Standing is what an entry knows of one server. It is immutable.
+	Standing struct {
+		Server   Server
+		own      int
+		report   Report
+		reported time.Time
+		// Requests of this entry that began and ended since the report.
+		began, ended int
+		failures     int
+		closedUntil  time.Time
+		replyTime    time.Duration
+	}
+
+	// Outcome is how a request at a server ended.
+	Outcome int
+)
+
+// The outcomes of a request at a server.
+const (
+	// Answered means a whole answer.
+	Answered Outcome = iota
+	// TurnedAway means that the server refused the request without running it.
+	TurnedAway
+	// Unreachable means that no connection came about.
+	Unreachable
+	// Broken means that the answer was missing, late or unusable.
+	Broken
+	// Abandoned means that the caller left, which says nothing of the server.
+	Abandoned
+)
+
+// WithServer returns the standing after the platform listed the server anew.
+func (standing Standing) WithServer(server Server) Standing {
+	standing.Server = server
+	return standing
+}
+
+// WithReport returns the standing after a report of the agent.
+func (standing Standing) WithReport(report Report, now time.Time) Standing {
+	if report.Born != standing.report.Born {
+		standing.failures = 0
+		standing.closedUntil = time.Time{}
+	}
+	standing.report = report
+	standing.reported = now
+	standing.began = 0
+	standing.ended = 0
+	return standing
+}
+
+// WithStart returns the standing after a request was sent to the server.
+func (standing Standing) WithStart() Standing {
+	standing.own++
+	standing.began++
+	return standing
+}
+
+// WithReply returns the standing after a first event arrived this long after
+// its request was sent.
+func (standing Standing) WithReply(after time.Duration) Standing {
+	if standing.replyTime == 0 {
+		standing.replyTime = after
+		return standing
+	}
+	standing.replyTime += time.Duration(slowReply * float64(after-standing.replyTime))
+	return standing
+}
+
+// WithEnd returns the standing after a request ended.
+func (standing Standing) WithEnd(outcome Outcome, now time.Time) Standing {
+	standing.own--
+	standing.ended++
+	switch outcome {
+	case Answered:
+		standing.failures = 0
+	case TurnedAway:
+		standing.closedUntil = later(standing.closedUntil, now.Add(fullClosure))
+	case Unreachable:
+		standing.failures += toleratedFailures
+		standing = standing.withFailure(now)
+	case Broken:
+		standing = standing.withFailure(now)
+	case Abandoned:
+	}
+	return standing
+}
+
+func (standing Standing) withFailure(now time.Time) Standing {
+	standing.failures++
+	beyond := standing.failures - toleratedFailures
+	if beyond <= 0 {
+		return standing
+	}
+	closure := min(longClosure, firstClosure<<min(beyond-1, 8))
+	standing.closedUntil = later(standing.closedUntil, now.Add(closure))
+	return standing
+}
+
+func later(left, right time.Time) time.Time {
+	if left.After(right) {
+		return left
+	}
+	return right
+}
+
+func (standing Standing) isReported(now time.Time) bool {
+	return !standing.reported.IsZero() && now.Sub(standing.reported) < reportLifetime
+}
+
+// load estimates how many requests the server runs and holds.
+func (standing Standing) load(now time.Time) int {
+	if !standing.isReported(now) {
+		return standing.own
+	}
+	return max(standing.own, standing.report.Running+standing.report.Queued+standing.began-standing.ended)
+}
+
+// room returns how many more requests of this entry the server can take beside
+// its slots and the allowance.
+func (standing Standing) room(allowance int, now time.Time) int {
+	if standing.isReported(now) {
+		return standing.Server.Slots + allowance - standing.load(now)
+	}
+	return max(1, int(blindShare*float64(standing.Server.Slots))) - standing.own
+}
+
+// versions returns the versions that the server runs; the agent knows better
+// than the platform's list.
+func (standing Standing) versions(now time.Time) map[string]int {
+	if standing.isReported(now) && standing.report.Versions != nil {
+		return standing.report.Versions
+	}
+	return standing.Server.Versions
+}
+
+func (standing Standing) isClosed(now time.Time) bool {
+	if now.Before(standing.closedUntil) || standing.Server.Draining {
+		return true
+	}
+	return standing.isReported(now) && standing.report.Closed
+}
--- a/lib/processes/program.go
+++ b/lib/processes/program.go
@@ -24,13 +24,25 @@
 
 // Arguments are the flags of a process of the system.
 type Arguments struct {
-	Settings string `arg:"--settings,required" help:"settings file (INI)"`
+	Settings string `arg:"--settings" help:"settings file (INI); the platform may name it instead"`
 	Check    bool   `arg:"--check" help:"check the settings file and exit"`
 }
 
+// WithSettings returns the arguments with this settings file where none is given.
+func (given Arguments) WithSettings(path string) Arguments {
+	if given.Settings == "" {
+		given.Settings = path
+	}
+	return given
+}
+
 // Execute reads the settings and runs the process until it is interrupted or
 // asked to terminate. It returns the exit code; errors go to standard error.
 func Execute[S any](name string, given Arguments, read func(path string) (S, error), run func(ctx context.Context, settings S) error) int {
+	if given.Settings == "" {
+		fmt.Fprintln(os.Stderr, name+": --settings is required")
+		return ExitSettings
+	}
 	settings, err := read(given.Settings)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- /dev/null
+++ b/lib/routes/routes.go
@@ -0,0 +1,250 @@
+// Package routes decides which service answers a caller's request and which
+// organisation it belongs to.
+//
+// A Table is built once from one version of the operator's configuration and
+// never changes. A request keeps the table that it met first, so that it is
+// judged by one version from its first decision to its last.
+package routes
+
+import (
+	"cmp"
+	"errors"
+	"slices"
+	"strings"
+	"time"
+)
+
+// What a request of a route may do when its outcome is unknown.
+const (
+	// Once requests run at most once for each attempt of the caller.
+	Once Repeat = iota
+	// Repeatable requests may run more than once.
+	Repeatable
+	// Stream requests are answered by a series of events. They run once, unless
+	// the route lets another server continue after the last event.
+	Stream
+)
+
+// DefaultPriority is the rank of an organisation that has none of its own.
+const DefaultPriority = -1
+
+// Reasons why a request has no route. They are errors of the caller.
+var (
+	ErrNoRoute    = errors.New("no route for this host and path")
+	ErrUnknownKey = errors.New("unknown key")
+)
+
+type (
+	// Repeat tells whether a request may be sent again.
+	Repeat int
+
+	// Route sends the requests for a host and a path prefix to services. The times
+	// are settings of the operator, counted from the arrival of a request.
+	Route struct {
+		Name       string
+		Host       string
+		Prefix     string
+		Repeat     Repeat
+		Resumable  bool
+		Public     bool
+		Priority   int
+		Attempts   int
+		Timeout    time.Duration
+		Target     time.Duration
+		EventGap   time.Duration
+		Shares     []Share
+		HasSession bool
+	}
+
+	// Share is the part of a route's requests that a service gets. Weights are
+	// relative to the sum of the route's weights.
+	Share struct {
+		Service string
+		Weight  float64
+	}
+
+	// Service is a group of backend servers that answer the same requests. Engine
+	// is nil for a plain service, Origin is empty for all but the weight origin.
+	Service struct {
+		Name           string
+		HealthPath     string
+		MaxConnections int
+		Engine         *Engine
+		Origin         string
+		OriginZone     string
+		OriginMbps     float64
+	}
+
+	// Engine holds the published figures of a model engine.
+	Engine struct {
+		Slots           int
+		Stride          int
+		Chunks          int
+		ChunkBytes      int64
+		Step            time.Duration
+		StepPerRequest  time.Duration
+		StepPer1kTokens time.Duration
+		PrefillPerS     float64
+		PairsPerM       time.Duration
+		UsualPrompt     float64
+		UsualAnswer     float64
+		MemoryTokens    float64
+		Models          []string
+	}
+
+	// Organisation is a group of callers that share keys.
+	Organisation struct {
+		Name     string
+		Priority int
+	}
+
+	// Limits bound what a caller may send.
+	Limits struct {
+		HeaderBytes int
+		BodyBytes   int64
+	}
+
+	// Configuration is one accepted version of the operator's configuration.
+	Configuration struct {
+		Version  int64
+		Routes   []Route
+		Services []Service
+		Keys     map[string]Organisation
+		Limits   Limits
+	}
+
+	// Table answers which route a request takes. It is immutable and safe for
+	// concurrent use; the zero value has no routes.
+	Table struct {
+		version  int64
+		hosts    map[string][]Route
+		services map[string]Service
+		keys     map[string]Organisation
+		limits   Limits
+	}
+
+	// Match is the route of a request and the organisation that it belongs to,
+	// which is empty on public routes.
+	Match struct {
+		Route        Route
+		Organisation Organisation
+	}
+)
+
+// New builds the table of a configuration.
+func New(configuration Configuration) Table {
+	table := Table{
+		version:  configuration.Version,
+		hosts:    map[string][]Route{},
+		services: map[string]Service{},
+		keys:     configuration.Keys,
+		limits:   configuration.Limits,
+	}
+	for _, route := range configuration.Routes {
+		host := strings.ToLower(route.Host)
+		table.hosts[host] = append(table.hosts[host], route)
+	}
+	for _, list := range table.hosts {
+		slices.SortStableFunc(list, func(left, right Route) int {
+			return cmp.Compare(len(right.Prefix), len(left.Prefix))
+		})
+	}
+	for _, service := range configuration.Services {
+		table.services[service.Name] = service
+	}
+	return table
+}
+
+// Version returns the version of the configuration, zero if there is none.
+func (table Table) Version() int64 { return table.version }
+
+// Limits returns what a caller may send.
+func (table Table) Limits() Limits { return table.limits }
+
+// Service returns a service by its name.
+func (table Table) Service(name string) (Service, bool) {
+	service, known := table.services[name]
+	return service, known
+}
+
+// Engines returns the services that are model engines.
+func (table Table) Engines() []Service {
+	return table.selectServices(func(service Service) bool { return service.Engine != nil })
+}
+
+// Origins returns the services that hand out weights.
+func (table Table) Origins() []Service {
+	return table.selectServices(func(service Service) bool { return service.Origin != "" })
+}
+
+func (table Table) selectServices(match func(Service) bool) []Service {
+	var list []Service
+	for _, service := range table.services {
+		if match(service) {
+			list = append(list, service)
+		}
+	}
+	slices.SortFunc(list, func(left, right Service) int { return strings.Compare(left.Name, right.Name) })
+	return list
+}
+
+// Match finds the route of a request by its host and the longest prefix of its
+// path, and the organisation by its key.
+func (table Table) Match(host, path, key string) (Match, error) {
+	route, found := table.route(host, path)
+	if !found {
+		return Match{}, ErrNoRoute
+	}
+	if route.Public || len(table.keys) == 0 {
+		return Match{Route: route, Organisation: Organisation{Priority: DefaultPriority}}, nil
+	}
+	organisation, known := table.keys[key]
+	if !known {
+		return Match{}, ErrUnknownKey
+	}
+	return Match{Route: route, Organisation: organisation}, nil
+}
+
+func (table Table) route(host, path string) (Route, bool) {
+	name, _, _ := strings.Cut(strings.ToLower(host), ":")
+	for _, route := range table.hosts[name] {
+		if strings.HasPrefix(path, route.Prefix) {
+			return route, true
+		}
+	}
+	return Route{}, false
+}
+
+// Priority returns the rank of the request; zero comes first. The rank of an
+// organisation goes before that of the route.
+func (match Match) Priority() int {
+	if match.Organisation.Priority != DefaultPriority {
+		return match.Organisation.Priority
+	}
+	return match.Route.Priority
+}
+
+// Service picks a service by the weights of the route. Chance is between 0
+// (included) and 1 (excluded).
+func (route Route) Service(chance float64) string {
+	total := 0.0
+	for _, share := range route.Shares {
+		total += share.Weight
+	}
+	at := chance * total
+	for _, share := range route.Shares {
+		if at < share.Weight {
+			return share.Service
+		}
+		at -= share.Weight
+	}
+	if len(route.Shares) == 0 {
+		return ""
+	}
+	return route.Shares[len(route.Shares)-1].Service
+}
+
+// MayRepeat reports whether a request whose outcome is unknown may be sent again.
+func (route Route) MayRepeat() bool {
+	return route.Repeat == Repeatable || route.Repeat == Stream && route.Resumable
+}
--- a/lib/settings/settings.go
+++ b/lib/settings/settings.go
@@ -248,13 +248,18 @@
 
 // Share returns a number between 0 and 1.
 func (section Section) Share(key string, fallback float64) float64 {
+	return section.Number(key, fallback, 0, 1)
+}
+
+// Number returns a number between least and most.
+func (section Section) Number(key string, fallback, least, most float64) float64 {
 	value, set := section.text(key)
 	if !set {
 		return fallback
 	}
 	number, err := strconv.ParseFloat(value, 64)
-	if err != nil || number < 0 || number > 1 {
-		section.Problem(key, "out of range", value, "a number from 0 to 1")
+	if err != nil || !(number >= least && number <= most) {
+		section.Problem(key, "out of range", value, fmt.Sprintf("a number from %g to %g", least, most))
 		return fallback
 	}
 	return number
--- /dev/null
+++ b/lib/stagings/start.go
@@ -0,0 +1,142 @@
+package stagings
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"firford/lib/hosts"
+)
+
+const (
+	// checkLifetime is how long a check of the staged pieces counts. A piece may
+	// turn bad at any time, and an engine must not take one that has been bad for
+	// more than three seconds.
+	checkLifetime = time.Second
+	// orderTimeout bounds the wait for an engine to carry an order out; it first
+	// finishes what it runs.
+	orderTimeout = 8 * time.Second
+	// firstWave is when the first engines change to a version after it was named:
+	// by then its pieces have usually arrived.
+	firstWave = 2500 * time.Millisecond
+	// lastWave is how long before the due time the last engines change, so that
+	// they can finish what they run and load.
+	lastWave = 2200 * time.Millisecond
+)
+
+var (
+	errDisagreed = errors.New("no two manifests of the origin agree")
+	errSpoilt    = errors.New("staged piece does not match after it was staged again")
+)
+
+// StartAt returns when the engine with this place among count may change to the
+// target. The changes are spread evenly, so that as few engines as possible are
+// away at any time. An engine that serves nothing starts at once.
+func StartAt(target Target, place, count int, empty bool) time.Time {
+	if empty || target.Named.IsZero() || count <= 0 {
+		return target.Named
+	}
+	first, last := target.Named.Add(firstWave), target.Due.Add(-lastWave)
+	if last.Before(first) {
+		return target.Named
+	}
+	return first.Add(last.Sub(first) * time.Duration(place) / time.Duration(count))
+}
+
+// start checks what lies beside the engine and orders it to start.
+func (node *Node) start(ctx context.Context, content *content, target Target) bool {
+	status, _ := node.current()
+	at := StartAt(target, hosts.Position(key(target.Model, target.Version), node.Self.Name, node.all()), len(node.all()), len(status.Versions) == 0)
+	if time.Now().Before(at) {
+		return false
+	}
+	checked := time.Now()
+	if err := node.check(ctx, content); err != nil {
+		node.Logger.Warn("staged pieces not whole", zap.Int("version", target.Version), zap.Error(err))
+		return false
+	}
+	if time.Since(checked) > checkLifetime || !node.wanted(content) {
+		return false
+	}
+	node.setClosed(true)
+	defer node.setClosed(false)
+	err := node.Engine.Start(ctx, Order{Model: target.Model, Version: target.Version, Sequence: status.Sequence})
+	node.Logger.Info("order sent", zap.String("model", target.Model), zap.Int("version", target.Version),
+		zap.Int("sequence", status.Sequence), zap.Int64("born", status.Born), zap.Duration("after_naming", sinceNamed(target)), zap.Error(err))
+	if err != nil {
+		return false
+	}
+	node.await(ctx, target, status.Born)
+	return true
+}
+
+func sinceNamed(target Target) time.Duration {
+	if target.Named.IsZero() {
+		return 0
+	}
+	return time.Since(target.Named)
+}
+
+func (node *Node) all() []hosts.Host {
+	list := []hosts.Host{node.Self}
+	for _, peer := range node.World().Peers {
+		if peer.Host.Name != node.Self.Name {
+			list = append(list, peer.Host)
+		}
+	}
+	return list
+}
+
+// await waits until the engine serves the target or has started again.
+func (node *Node) await(ctx context.Context, target Target, born int64) {
+	until := time.Now().Add(orderTimeout)
+	for ctx.Err() == nil && time.Now().Before(until) {
+		status, _ := node.current()
+		if status.Born != born || !status.Busy && status.Versions[target.Model] == target.Version {
+			break
+		}
+		sleep(ctx, observePause/2)
+	}
+	status, _ := node.current()
+	node.Logger.Info("order ended", zap.Int("version", target.Version), zap.Any("versions", status.Versions),
+		zap.Bool("busy", status.Busy), zap.Duration("after_naming", sinceNamed(target)))
+}
+
+// check reads back every piece and stages those again that do not match.
+func (node *Node) check(ctx context.Context, content *content) error {
+	var group sync.WaitGroup
+	var spoilt atomic.Bool
+	queue := make(chan int, len(content.pieces))
+	for piece := range content.pieces {
+		queue <- piece
+	}
+	close(queue)
+	for range stagingWorkers {
+		group.Go(func() {
+			for piece := range queue {
+				if !node.checkPiece(ctx, content, piece) {
+					spoilt.Store(true)
+				}
+			}
+		})
+	}
+	group.Wait()
+	if spoilt.Load() {
+		return errSpoilt
+	}
+	return nil
+}
+
+func (node *Node) checkPiece(ctx context.Context, content *content, piece int) bool {
+	model := content.manifest.Model
+	if body, err := node.Engine.ReadPiece(ctx, model, piece); err == nil && content.manifest.Verify(piece, body) {
+		return true
+	}
+	node.lay(ctx, content, piece)
+	body, err := node.Engine.ReadPiece(ctx, model, piece)
+	return err == nil && content.manifest.Verify(piece, body)
+}
