Hand pieces of a new version on instead of asking for them

Cause: agents that asked for pieces waited at sources that were still fetching; version 2 reached no engine in 8 s. Plans differed between agents because each left out the peers that it suspected, so pieces were left to each other. The upload limit had a burst of 16 MB, so there was none.

Change: owners by rendezvous hash with even shares, each piece is pushed as soon as it is there; plans hold all peers; a burst of one piece; a version that was overtaken is still started when its content is complete.

--- a/cmd/agent/routed/routed.go
+++ b/cmd/agent/routed/routed.go
@@ -89,7 +89,8 @@
 	if err != nil {
 		return fmt.Errorf("listen for entries: %w", err)
 	}
-	upload := rate.NewLimiter(rate.Inf, int(mostPieceBytes))
+	// The node sets the limit by the load of its engine and the size of a piece.
+	upload := rate.NewLimiter(rate.Inf, 1)
 	agent.reporter = loads.NewReporter(datagrams, agent.logger)
 	agent.node = stagings.New(stagings.Dependencies{
 		Self:     agent.self,
@@ -117,9 +118,6 @@
 	return err
 }
 
-// mostPieceBytes is the burst of the upload limit: a piece is let through whole.
-const mostPieceBytes = 16 << 20
-
 func (agent *agent) probe(ctx context.Context) error {
 	listener, err := net.Listen("tcp", agent.settings.MetricsAddress())
 	if err != nil {
@@ -205,40 +203,42 @@
 		return stagings.World{}
 	}
 	model := service.Engine.Models[0]
-	world := stagings.World{Target: agent.target(model, service.Engine.Chunks)}
-	for _, origin := range table.Origins() {
-		world.OriginRegion = agent.settings.Regions[origin.OriginZone]
-	}
+	world := stagings.World{Targets: agent.wanted(model, service.Engine.Chunks)}
+	newest := world.Targets[len(world.Targets)-1].Version
 	for _, server := range *agent.servers.Load() {
 		if server.Service != agent.settings.Service || server.Draining {
 			continue
 		}
 		world.Peers = append(world.Peers, stagings.Peer{
 			Host:  agent.host(server),
-			Holds: server.Versions[model] == world.Target.Version,
+			Holds: server.Versions[model] == newest,
 		})
 	}
 	return world
 }
 
-func (agent *agent) target(model string, pieces int) stagings.Target {
-	targets := agent.targets.Load()
-	version := targets.Newest(model)
-	if version == 0 {
-		version = firstVersion
-		for _, server := range *agent.servers.Load() {
-			version = max(version, server.Versions[model])
+// wanted returns the versions of the model, the newest last. Where none was
+// named, it is the one that the servers hold.
+func (agent *agent) wanted(model string, pieces int) []stagings.Target {
+	var list []stagings.Target
+	for _, named := range agent.targets.Load().Named(model) {
+		target := stagings.Target{Model: model, Version: named.Version, Pieces: pieces}
+		if at := (*agent.named.Load())[model+"/"+strconv.Itoa(named.Version)]; !at.IsZero() {
+			target.Named, target.Due = at, named.Due
 		}
-	}
-	target := stagings.Target{Model: model, Version: version, Pieces: pieces}
-	if at := (*agent.named.Load())[model+"/"+strconv.Itoa(version)]; !at.IsZero() {
-		target.Named = at
-		target.Due = at.Add(agent.settings.VersionTime)
-		if due, earlier := targets.Due(model, agent.serving(model)); earlier && due.Before(target.Due) {
+		if due, earlier := agent.targets.Load().Due(model, agent.serving(model)); earlier && due.Before(target.Due) {
 			target.Due = due
 		}
+		list = append(list, target)
+	}
+	if len(list) > 0 {
+		return list
+	}
+	version := firstVersion
+	for _, server := range *agent.servers.Load() {
+		version = max(version, server.Versions[model])
 	}
-	return target
+	return []stagings.Target{{Model: model, Version: version, Pieces: pieces}}
 }
 
 // serving returns the version that the list says this agent's engine serves.
--- a/lib/placements/targets.go
+++ b/lib/placements/targets.go
@@ -9,12 +9,13 @@
 	// Targets holds which versions of each model the operator named, and by when
 	// each has to be in use. It is immutable.
 	Targets struct {
-		models map[string][]target
+		models map[string][]Named
 	}
 
-	target struct {
-		version int
-		due     time.Time
+	// Named is a version that the operator named and by when it has to be in use.
+	Named struct {
+		Version int
+		Due     time.Time
 	}
 )
 
@@ -22,14 +23,14 @@
 // use by due. Versions that are known or older than a known one change nothing.
 func (targets Targets) With(model string, version int, due time.Time) Targets {
 	known := targets.models[model]
-	if len(known) > 0 && known[len(known)-1].version >= version {
+	if len(known) > 0 && known[len(known)-1].Version >= version {
 		return targets
 	}
 	next := maps.Clone(targets.models)
 	if next == nil {
-		next = map[string][]target{}
+		next = map[string][]Named{}
 	}
-	next[model] = append(known[:len(known):len(known)], target{version: version, due: due})
+	next[model] = append(known[:len(known):len(known)], Named{Version: version, Due: due})
 	return Targets{models: next}
 }
 
@@ -37,28 +38,22 @@
 func (targets Targets) Least(model string, now time.Time) int {
 	least := 0
 	for _, each := range targets.models[model] {
-		if !now.Before(each.due) {
-			least = max(least, each.version)
+		if !now.Before(each.Due) {
+			least = max(least, each.Version)
 		}
 	}
 	return least
 }
 
-// Newest returns the newest named version, zero if none was named.
-func (targets Targets) Newest(model string) int {
-	known := targets.models[model]
-	if len(known) == 0 {
-		return 0
-	}
-	return known[len(known)-1].version
-}
+// Named returns the versions of the model, the newest last.
+func (targets Targets) Named(model string) []Named { return targets.models[model] }
 
 // Due returns by when the version has to be replaced by a newer one, false if it
 // is the newest.
 func (targets Targets) Due(model string, version int) (time.Time, bool) {
 	for _, each := range targets.models[model] {
-		if each.version > version {
-			return each.due, true
+		if each.Version > version {
+			return each.Due, true
 		}
 	}
 	return time.Time{}, false
--- a/lib/stagings/exchange.go
+++ b/lib/stagings/exchange.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -21,18 +22,25 @@
 
 const (
 	// holdTime is how long a question for a piece on its way is held.
-	holdTime = 900 * time.Millisecond
+	holdTime = 250 * time.Millisecond
+	// holdPause is the pause between looks for a version that is not known yet.
+	holdPause = 20 * time.Millisecond
 	// askTimeout bounds a question to a peer: the hold, and the piece's way over a
 	// link of a few Mbit/s that live answers share.
-	askTimeout = holdTime + 600*time.Millisecond
+	askTimeout = 2*holdTime + 800*time.Millisecond
+	// handTimeout bounds the way of one piece to a peer.
+	handTimeout = 700 * time.Millisecond
 	// peerConnections bounds the connections to one peer.
-	peerConnections = 4
+	peerConnections = 12
 	peerIdle        = 5 * time.Second
 	pathManifest    = "/manifests/"
 	pathPiece       = "/pieces/"
 	mostPieceBytes  = 16 << 20
 )
 
+// errPending means that the peer is still fetching the piece.
+var errPending = errors.New("the peer is still fetching the piece")
+
 type (
 	// Server hands out what this agent holds.
 	Server struct {
@@ -59,13 +67,33 @@
 }
 
 func (peers *peers) get(address, path string) ([]byte, error) {
+	return peers.call(http.MethodGet, address, path, nil, askTimeout)
+}
+
+// hand sends a piece to a peer.
+func (peers *peers) hand(address, model string, version, piece int, body []byte) error {
+	_, err := peers.call(http.MethodPut, address, piecePath(model, version, piece), body, handTimeout)
+	return err
+}
+
+func piecePath(model string, version, piece int) string {
+	return pathPiece + model + "/" + strconv.Itoa(version) + "/" + strconv.Itoa(piece)
+}
+
+func (peers *peers) call(method, address, path string, body []byte, timeout time.Duration) ([]byte, error) {
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
+	request.Header.SetMethod(method)
 	request.SetRequestURI("http://" + address + path)
-	if err := peers.client.DoTimeout(request, response, askTimeout); err != nil {
+	request.SetBody(body)
+	if err := peers.client.DoTimeout(request, response, timeout); err != nil {
 		return nil, fmt.Errorf("ask peer %s: %w", address, err)
 	}
+	if response.StatusCode() == http.StatusTooEarly || response.StatusCode() == http.StatusNotFound {
+		// A peer that does not know the version yet is about to hear of it.
+		return nil, errPending
+	}
 	if response.StatusCode() != http.StatusOK {
 		return nil, fmt.Errorf("peer %s: status %d", address, response.StatusCode())
 	}
@@ -85,7 +113,7 @@
 }
 
 func (peers *peers) piece(address, model string, version, piece int) ([]byte, error) {
-	return peers.get(address, pathPiece+model+"/"+strconv.Itoa(version)+"/"+strconv.Itoa(piece))
+	return peers.get(address, piecePath(model, version, piece))
 }
 
 // NewServer returns a server of the node's content. Upload limits the bytes a
@@ -107,6 +135,8 @@
 	switch {
 	case len(parts) == 4 && parts[1] == "manifests":
 		server.manifest(ctx, parts[2], parts[3])
+	case len(parts) == 5 && parts[1] == "pieces" && ctx.IsPut():
+		server.accept(ctx, parts[2], parts[3], parts[4])
 	case len(parts) == 5 && parts[1] == "pieces":
 		server.piece(ctx, parts[2], parts[3], parts[4])
 	default:
@@ -115,7 +145,7 @@
 }
 
 func (server *Server) manifest(ctx *fasthttp.RequestCtx, model, version string) {
-	content := server.node.held(model, version)
+	content := server.hold(model, version)
 	if content == nil {
 		ctx.SetStatusCode(http.StatusNotFound)
 		return
@@ -129,8 +159,18 @@
 	ctx.SetBody(body)
 }
 
+// hold returns the content of a version, which may become known in a moment.
+func (server *Server) hold(model, version string) *content {
+	for until := time.Now().Add(holdTime); ; time.Sleep(holdPause) {
+		content := server.node.held(model, version)
+		if content != nil || time.Now().After(until) {
+			return content
+		}
+	}
+}
+
 func (server *Server) piece(ctx *fasthttp.RequestCtx, model, version, piece string) {
-	content := server.node.held(model, version)
+	content := server.hold(model, version)
 	index, err := strconv.Atoi(piece)
 	if content == nil || err != nil {
 		ctx.SetStatusCode(http.StatusNotFound)
@@ -138,7 +178,7 @@
 	}
 	body := wait(content, index)
 	if body == nil {
-		ctx.SetStatusCode(http.StatusNotFound)
+		ctx.SetStatusCode(http.StatusTooEarly)
 		return
 	}
 	if err := server.upload.WaitN(context.Background(), len(body)); err != nil {
@@ -149,6 +189,18 @@
 	ctx.SetBody(body)
 }
 
+// accept takes a piece that another agent hands over.
+func (server *Server) accept(ctx *fasthttp.RequestCtx, model, version, piece string) {
+	content := server.node.held(model, version)
+	index, err := strconv.Atoi(piece)
+	switch {
+	case content == nil || err != nil:
+		ctx.SetStatusCode(http.StatusNotFound)
+	case !server.node.accept(content, index, append([]byte(nil), ctx.PostBody()...)):
+		ctx.SetStatusCode(http.StatusUnprocessableEntity)
+	}
+}
+
 func wait(content *content, piece int) []byte {
 	for timeout := time.After(holdTime); ; {
 		body, changed := content.get(piece)
--- a/lib/stagings/fetch.go
+++ b/lib/stagings/fetch.go
@@ -2,26 +2,35 @@
 
 import (
 	"context"
-	"math/rand/v2"
+	"errors"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
-
-	"firford/lib/hosts"
 )
 
 const (
 	// idleWorkers and liveWorkers are how many pieces are fetched at a time, for an
-	// engine that answers no requests and for one that does. Two pieces on the way
-	// fill a link; more would make live answers wait behind them.
+	// engine that answers no requests and for one that does. Most questions wait at
+	// a peer; how many bytes flow is the business of the rate limits.
 	idleWorkers = 6
-	liveWorkers = 2
+	liveWorkers = 3
+	// pendingPatience is how long a piece is waited for that its source is still
+	// fetching: the origin's time for one copy, and the way over two links.
+	pendingPatience = 3 * time.Second
 	// suspicion is how long a peer that failed is not asked.
 	suspicion = 600 * time.Millisecond
-	// manifestPiece is the place of the manifest in the rank of sources.
-	manifestPiece = -1
+	// manifestPiece is the piece whose sources also have the manifest.
+	manifestPiece = 0
+	// manifestPatience is how long a manifest is waited for that its source is
+	// still fetching, and planLifetime how long a plan counts.
+	manifestPatience = 800 * time.Millisecond
+	planLifetime     = 250 * time.Millisecond
+	// receivePatience is how long no piece may arrive before this agent asks for
+	// the missing ones.
+	receivePatience = 900 * time.Millisecond
 	// stagingWorkers is how many pieces are read back from the engine at a time.
 	stagingWorkers = 4
 )
@@ -29,15 +38,20 @@
 // findManifest asks the peers and, where this agent is the one to do so, the
 // origin.
 func (node *Node) findManifest(ctx context.Context, target Target) (Manifest, bool) {
-	for _, source := range Sources(key(target.Model, target.Version), manifestPiece, node.surroundings(time.Now())) {
+	patience := time.Now().Add(manifestPatience)
+	for _, source := range node.plan(target).Sources(manifestPiece) {
 		manifest, err := node.askManifest(ctx, source, target)
+		for errors.Is(err, errPending) && ctx.Err() == nil && time.Now().Before(patience) {
+			manifest, err = node.askManifest(ctx, source, target)
+		}
 		if err == nil {
 			err = manifest.Check(target.Model, target.Version, target.Pieces)
 		}
 		if err == nil {
 			return manifest, true
 		}
-		node.Logger.Debug("manifest not found", zap.Bool("origin", source.Origin), zap.String("peer", source.Host.Name), zap.Error(err))
+		node.Logger.Info("manifest not found", zap.Int("version", target.Version), zap.Bool("origin", source.Origin),
+			zap.String("peer", source.Host.Name), zap.Error(err))
 		if ctx.Err() != nil {
 			return Manifest{}, false
 		}
@@ -81,34 +95,91 @@
 	return model + "/" + strconv.Itoa(version)
 }
 
-// fill brings the missing pieces: from the engine's own stage where the engine
-// serves the version, then from peers and the origin.
-func (node *Node) fill(ctx context.Context, content *content, target Target, serves bool) bool {
+// fill brings the missing pieces: those that lie beside the engine, then those
+// from peers and the origin. It takes the pieces first that this agent has to
+// bring into its region, because others wait for them.
+func (node *Node) fill(ctx context.Context, content *content, target Target, status Status) bool {
 	began := time.Now()
-	node.recall(ctx, content)
-	missing := content.missing()
-	// Each agent begins with other pieces, so that the questions spread.
-	rand.Shuffle(len(missing), func(i, j int) { missing[i], missing[j] = missing[j], missing[i] })
-	queue := make(chan int, len(missing))
-	for _, piece := range missing {
+	if status.Versions[target.Model] == target.Version || len(status.Versions) == 0 {
+		node.recall(ctx, content)
+	}
+	plan := node.plan(target)
+	first, duties, rest := split(content, plan)
+	wanted := len(first) + len(duties) + len(rest)
+	if plan.first != nil {
+		node.fetchAll(ctx, content, target, first)
+		node.Logger.Info("own pieces read from the origin", zap.Int("pieces", len(first)), zap.Int("missing", len(content.missing())), zap.Duration("took", time.Since(began)))
+		node.receive(ctx, content)
+		_, duties, rest = split(content, plan)
+	}
+	var group sync.WaitGroup
+	group.Go(func() { node.fetchAll(ctx, content, target, duties) })
+	node.fetchAll(ctx, content, target, rest)
+	group.Wait()
+	node.Logger.Info("pieces fetched", zap.String("model", target.Model), zap.Int("version", target.Version),
+		zap.Int("wanted", wanted), zap.Int("missing", len(content.missing())), zap.Duration("took", time.Since(began)))
+	return content.complete()
+}
+
+// receive waits until the other agents have handed over all pieces, or have
+// stopped to.
+func (node *Node) receive(ctx context.Context, content *content) {
+	missing := len(content.missing())
+	for quietAt := time.Now().Add(receivePatience); missing > 0; sleep(ctx, stepPause) {
+		if ctx.Err() != nil || time.Now().After(quietAt) || !node.isNewest(content) {
+			return
+		}
+		if now := len(content.missing()); now < missing {
+			missing = now
+			quietAt = time.Now().Add(receivePatience)
+		}
+	}
+}
+
+// split parts the missing pieces into those that this agent reads from the
+// origin, those that it brings into its region, and the others.
+func split(content *content, plan Plan) (first, duties, rest []int) {
+	for _, piece := range content.missing() {
+		switch {
+		case plan.IsFirst(piece):
+			first = append(first, piece)
+		case plan.IsDuty(piece):
+			duties = append(duties, piece)
+		default:
+			rest = append(rest, piece)
+		}
+	}
+	return first, duties, rest
+}
+
+// fetchAll fetches the pieces. One that its source is still fetching goes to the
+// end of the queue, so that no worker waits for it while others are there.
+func (node *Node) fetchAll(ctx context.Context, content *content, target Target, pieces []int) {
+	if len(pieces) == 0 {
+		return
+	}
+	queue := make(chan int, len(pieces))
+	for _, piece := range pieces {
 		queue <- piece
 	}
-	close(queue)
+	var left atomic.Int64
+	left.Store(int64(len(pieces)))
+	patience := time.Now().Add(pendingPatience)
 	var group sync.WaitGroup
 	for range node.workers() {
 		group.Go(func() {
 			for piece := range queue {
-				if ctx.Err() != nil || !node.wanted(content) {
-					return
+				if ctx.Err() == nil && node.isNewest(content) && node.fetch(ctx, content, piece, node.plan(target).Sources(piece), patience) {
+					queue <- piece
+					continue
+				}
+				if left.Add(-1) == 0 {
+					close(queue)
 				}
-				node.fetch(ctx, content, piece, serves)
 			}
 		})
 	}
 	group.Wait()
-	node.Logger.Info("pieces fetched", zap.String("model", target.Model), zap.Int("version", target.Version),
-		zap.Int("wanted", len(missing)), zap.Int("missing", len(content.missing())), zap.Duration("took", time.Since(began)))
-	return content.complete()
 }
 
 func (node *Node) workers() int {
@@ -139,33 +210,33 @@
 	group.Wait()
 }
 
-// fetch brings one piece and lays it beside the engine.
-func (node *Node) fetch(ctx context.Context, content *content, piece int, serves bool) {
+// fetch brings one piece. It returns true if the best source is still fetching
+// it, and the time to be patient is not over.
+func (node *Node) fetch(ctx context.Context, content *content, piece int, sources []Source, patience time.Time) (pending bool) {
 	manifest := content.manifest
-	for _, source := range Sources(key(manifest.Model, manifest.Version), piece, node.surroundings(time.Now())) {
-		if err := node.download.WaitN(ctx, int(manifest.PieceBytes)); err != nil {
-			return
+	for _, source := range sources {
+		if !source.Origin && node.isSuspect(source.Host.Name) {
+			continue
 		}
 		body, err := node.ask(ctx, source, manifest, piece)
-		if err == nil && content.put(piece, body) {
-			if !serves {
-				node.lay(ctx, content, piece)
-			}
-			return
+		switch {
+		case err == nil && content.put(piece, body):
+			node.keep(ctx, content, piece)
+			// The rate is kept by waiting after a piece, since most questions bring none.
+			_ = node.download.WaitN(ctx, len(body)) // Fails only when the context ends.
+			return false
+		case errors.Is(err, errPending) && time.Now().Before(patience):
+			return true
+		case err != nil && !source.Origin && !errors.Is(err, errPending):
+			node.suspect(source.Host.Name, time.Now().Add(suspicion))
 		}
 		node.Logger.Info("piece not fetched", zap.Int("piece", piece), zap.Bool("origin", source.Origin),
 			zap.String("peer", source.Host.Name), zap.Bool("spoilt", err == nil), zap.Error(err))
-		if err != nil && !source.Origin {
-			node.doubt(source.Host, err)
-		}
-		if ctx.Err() != nil || !node.wanted(content) {
-			return
+		if ctx.Err() != nil || !node.isNewest(content) {
+			return false
 		}
 	}
-}
-
-func (node *Node) doubt(host hosts.Host, _ error) {
-	node.suspect(host.Name, time.Now().Add(suspicion))
+	return false
 }
 
 func (node *Node) ask(ctx context.Context, source Source, manifest Manifest, piece int) ([]byte, error) {
@@ -175,7 +246,23 @@
 	return node.peers.piece(source.Host.ChunkAddress, manifest.Model, manifest.Version, piece)
 }
 
+// keep lays a new piece beside the engine and hands it on.
+func (node *Node) keep(ctx context.Context, content *content, piece int) {
+	node.hand(content, piece)
+	node.lay(ctx, content, piece)
+}
+
+// lay puts a piece beside the engine, where it outlives this process. It waits
+// for its turn while an older version lies there that is about to be started.
 func (node *Node) lay(ctx context.Context, content *content, piece int) {
+	status, _ := node.current()
+	if target, _ := node.startable(status); target.Version != 0 && target.Version != content.manifest.Version {
+		return
+	}
+	node.stage(ctx, content, piece)
+}
+
+func (node *Node) stage(ctx context.Context, content *content, piece int) {
 	body, _ := content.get(piece)
 	if err := node.Engine.StagePiece(ctx, content.manifest.Model, piece, body); err != nil {
 		node.Logger.Warn("piece not staged", zap.Int("piece", piece), zap.Error(err))
--- a/lib/stagings/node.go
+++ b/lib/stagings/node.go
@@ -22,9 +22,11 @@
 	stepPause = 60 * time.Millisecond
 	// liveShare is the part of the link that transfers use while the engine answers
 	// requests; an engine that answers none uses all of it.
-	liveShare   = 0.55
-	bitsPerByte = 8
-	megabit     = 1e6
+	liveShare = 0.55
+	// keptVersions is how many versions' pieces are kept for peers.
+	keptVersions = 2
+	bitsPerByte  = 8
+	megabit      = 1e6
 )
 
 type (
@@ -75,11 +77,12 @@
 		Due     time.Time
 	}
 
-	// World is what the agent knows of the rest of the system.
+	// World is what the agent knows of the rest of the system. Targets are the
+	// versions of the engine's model from the oldest to the newest; the last one is
+	// the version that the engine has to come to in the end.
 	World struct {
-		Target       Target
-		Peers        []Peer
-		OriginRegion string
+		Targets []Target
+		Peers   []Peer
 	}
 
 	// Dependencies are what a node needs. LinkMbps is the rate of the machine's
@@ -96,18 +99,26 @@
 		Logger   *zap.Logger
 	}
 
+	planned struct {
+		plan    Plan
+		version int
+		until   time.Time
+	}
+
 	// Node brings the intended version to its engine.
 	Node struct {
 		Dependencies
 		peers    *peers
 		download *rate.Limiter
 
-		mutex    sync.Mutex
-		status   Status
-		observed time.Time
-		closed   bool
-		content  *content
-		suspects map[string]time.Time
+		mutex     sync.Mutex
+		status    Status
+		observed  time.Time
+		closed    bool
+		handovers chan handover
+		contents  map[int]*content
+		planned   planned
+		suspects  map[string]time.Time
 	}
 )
 
@@ -117,15 +128,26 @@
 		Dependencies: given,
 		peers:        newPeers(),
 		download:     rate.NewLimiter(rate.Inf, mostPieceBytes),
+		contents:     map[int]*content{},
+		handovers:    make(chan handover, handQueue),
 		suspects:     map[string]time.Time{},
 	}
 }
 
-// Run works until the context ends.
+// Run works until the context ends. Fetching and starting go on beside each
+// other, because a version may be named while an earlier one is being started.
 func (node *Node) Run(ctx context.Context) {
 	go node.observe(ctx)
+	for range handWorkers {
+		go node.handOn(ctx)
+	}
+	go repeat(ctx, node.fetchNewest)
+	repeat(ctx, node.startNext)
+}
+
+func repeat(ctx context.Context, step func(context.Context) bool) {
 	for ctx.Err() == nil {
-		if !node.step(ctx) {
+		if !step(ctx) {
 			sleep(ctx, stepPause)
 		}
 	}
@@ -195,38 +217,42 @@
 
 // held returns the content of a version that peers may ask for.
 func (node *Node) held(model, version string) *content {
-	node.mutex.Lock()
-	defer node.mutex.Unlock()
-	if node.content == nil || node.content.manifest.Model != model || strconv.Itoa(node.content.manifest.Version) != version {
+	number, err := strconv.Atoi(version)
+	if err != nil {
+		return nil
+	}
+	content := node.content(number)
+	if content == nil || content.manifest.Model != model {
 		return nil
 	}
-	return node.content
+	return content
+}
+
+func (node *Node) content(version int) *content {
+	node.mutex.Lock()
+	defer node.mutex.Unlock()
+	return node.contents[version]
 }
 
-// step does the next piece of work and reports whether there was any.
-func (node *Node) step(ctx context.Context) bool {
-	target := node.World().Target
+// fetchNewest brings the content of the newest version and reports whether
+// there was anything to do.
+func (node *Node) fetchNewest(ctx context.Context) bool {
+	targets := node.World().Targets
 	status, seen := node.current()
-	if target.Model == "" || !seen {
+	if len(targets) == 0 || !seen {
 		return false
 	}
-	content := node.open(ctx, target)
-	if content == nil {
+	newest := targets[len(targets)-1]
+	content := node.open(ctx, newest)
+	if content == nil || content.complete() {
 		return false
 	}
-	serves := status.Versions[target.Model] == target.Version
-	if !content.complete() {
-		return node.fill(ctx, content, target, serves)
-	}
-	if serves || status.Busy {
-		return false
-	}
-	return node.start(ctx, content, target)
+	return node.fill(ctx, content, newest, status)
 }
 
 // open returns the content of the target, with its manifest.
 func (node *Node) open(ctx context.Context, target Target) *content {
-	if content := node.held(target.Model, strconv.Itoa(target.Version)); content != nil {
+	if content := node.content(target.Version); content != nil {
 		return content
 	}
 	manifest, ok := node.findManifest(ctx, target)
@@ -234,51 +260,88 @@
 		return nil
 	}
 	content := newContent(manifest)
+	// One piece may leave at once, whatever the rate.
+	node.Upload.SetBurst(int(manifest.PieceBytes))
+	node.download.SetBurst(int(manifest.PieceBytes))
 	node.mutex.Lock()
-	node.content = content
-	node.mutex.Unlock()
+	defer node.mutex.Unlock()
+	node.contents[target.Version] = content
+	for version := range node.contents {
+		if version <= target.Version-keptVersions {
+			delete(node.contents, version)
+		}
+	}
 	node.Logger.Info("version wanted", zap.String("model", target.Model), zap.Int("version", target.Version))
 	return content
 }
 
-// wanted reports whether the content is still that of the target.
-func (node *Node) wanted(content *content) bool {
-	target := node.World().Target
-	return target.Model == content.manifest.Model && target.Version == content.manifest.Version
+// startNext starts the newest version whose content is complete, if the engine
+// serves an older one or none. A version that was overtaken is still started
+// when its successor is not there yet, because the old one has to go in time.
+func (node *Node) startNext(ctx context.Context) bool {
+	status, seen := node.current()
+	if !seen || status.Busy {
+		return false
+	}
+	target, content := node.startable(status)
+	if content == nil {
+		return false
+	}
+	return node.start(ctx, content, target, status)
 }
 
-func (node *Node) surroundings(now time.Time) Surroundings {
-	world := node.World()
-	seen := Surroundings{Self: node.Self, OriginRegion: world.OriginRegion}
-	node.mutex.Lock()
-	defer node.mutex.Unlock()
-	for _, peer := range world.Peers {
-		if now.After(node.suspects[peer.Host.Name]) {
-			seen.Peers = append(seen.Peers, peer)
+func (node *Node) startable(status Status) (Target, *content) {
+	targets := node.World().Targets
+	for i := len(targets) - 1; i >= 0; i-- {
+		target := targets[i]
+		if status.Versions[target.Model] >= target.Version {
+			break
+		}
+		if content := node.content(target.Version); content != nil && content.complete() {
+			return target, content
 		}
 	}
-	return seen
+	return Target{}, nil
 }
 
-func (node *Node) suspect(name string, until time.Time) {
+// isNewest reports whether the content is still that of the newest version.
+func (node *Node) isNewest(content *content) bool {
+	targets := node.World().Targets
+	return len(targets) > 0 && targets[len(targets)-1].Version == content.manifest.Version
+}
+
+// plan plans the fetch of a version by what is known now. Peers that do not
+// answer stay in the plan, since agents that plan with different peers leave
+// pieces to each other.
+func (node *Node) plan(target Target) Plan {
+	now := time.Now()
+	node.mutex.Lock()
+	known := node.planned
+	node.mutex.Unlock()
+	if known.version == target.Version && now.Before(known.until) {
+		return known.plan
+	}
+	seen := Surroundings{Self: node.Self, Peers: node.World().Peers}
+	plan := NewPlan(key(target.Model, target.Version), max(1, target.Pieces), seen)
 	node.mutex.Lock()
 	defer node.mutex.Unlock()
-	node.suspects[name] = until
+	node.planned = planned{plan: plan, version: target.Version, until: now.Add(planLifetime)}
+	return plan
 }
 
-// Held returns what the node serves its peers, for reports.
-func (node *Node) Held() (model string, version int) {
+func (node *Node) suspect(name string, until time.Time) {
 	node.mutex.Lock()
 	defer node.mutex.Unlock()
-	if node.content == nil {
-		return "", 0
-	}
-	return node.content.manifest.Model, node.content.manifest.Version
+	node.suspects[name] = until
 }
 
-// IsSettled reports whether the engine serves the target.
+// IsSettled reports whether the engine serves the newest version.
 func (node *Node) IsSettled() bool {
-	target := node.World().Target
+	targets := node.World().Targets
 	status, seen := node.current()
-	return seen && target.Model != "" && status.Versions[target.Model] == target.Version
+	if !seen || len(targets) == 0 {
+		return false
+	}
+	newest := targets[len(targets)-1]
+	return status.Versions[newest.Model] == newest.Version
 }
--- a/lib/stagings/start.go
+++ b/lib/stagings/start.go
@@ -48,8 +48,7 @@
 }
 
 // start checks what lies beside the engine and orders it to start.
-func (node *Node) start(ctx context.Context, content *content, target Target) bool {
-	status, _ := node.current()
+func (node *Node) start(ctx context.Context, content *content, target Target, status Status) bool {
 	at := StartAt(target, hosts.Position(key(target.Model, target.Version), node.Self.Name, node.all()), len(node.all()), len(status.Versions) == 0)
 	if time.Now().Before(at) {
 		return false
@@ -59,7 +58,7 @@
 		node.Logger.Warn("staged pieces not whole", zap.Int("version", target.Version), zap.Error(err))
 		return false
 	}
-	if time.Since(checked) > checkLifetime || !node.wanted(content) {
+	if time.Since(checked) > checkLifetime {
 		return false
 	}
 	node.setClosed(true)
@@ -136,7 +135,7 @@
 	if body, err := node.Engine.ReadPiece(ctx, model, piece); err == nil && content.manifest.Verify(piece, body) {
 		return true
 	}
-	node.lay(ctx, content, piece)
+	node.stage(ctx, content, piece)
 	body, err := node.Engine.ReadPiece(ctx, model, piece)
 	return err == nil && content.manifest.Verify(piece, body)
 }
