Survive SIGHUP, see a caller's close before sending, begin requests before their version ends

Change: SIGHUP reads and checks the settings; the caller's socket is looked at before each send; a request that has not begun when the version of its server is due goes elsewhere.

--- a/cmd/entry/routed/routed.go
+++ b/cmd/entry/routed/routed.go
@@ -36,7 +36,7 @@
 	serverSettle = 50 * time.Millisecond
 	// versionMargin is how long before its due time a version is insisted on, for
 	// the way to the server and the wait there.
-	versionMargin = 700 * time.Millisecond
+	versionMargin = 600 * time.Millisecond
 	// unknownVersionTime is how long a version that was named at an unknown time
 	// before the process began may still take.
 	unknownVersionTime = 3 * time.Second
@@ -85,6 +85,7 @@
 		Desk:    entry.desk,
 		Table:   func() routes.Table { return *entry.table.Load() },
 		Least:   func(model string, now time.Time) int { return entry.targets.Load().Least(model, now) },
+		Due:     func(model string, version int) (time.Time, bool) { return entry.targets.Load().Due(model, version) },
 		Logger:  logger,
 		Scope:   entry.metrics.Scope,
 	})
--- a/lib/gateways/attempts.go
+++ b/lib/gateways/attempts.go
@@ -212,11 +212,14 @@
 			_ = conn.Close()
 		}
 	}()
+	if request.hasLeft() {
+		return left{}
+	}
 	began := time.Now()
 	if err := conn.send(request.bytes(server, began)); err != nil {
 		return request.lost(ctx, err)
 	}
-	_ = conn.SetReadDeadline(request.firstBy(began))
+	_ = conn.SetReadDeadline(earlier(request.firstBy(began), request.versionEnd(server)))
 	response, reply, err := conn.receive(gateway.Dialect, request.received.Method, request.call.ID)
 	if err != nil {
 		return request.lost(ctx, err)
@@ -270,6 +273,20 @@
 	}
 }
 
+// versionEnd returns when a request must have begun on the version that the
+// server serves, which is about to be replaced. What has not begun by then goes
+// to another server.
+func (request *request) versionEnd(server placements.Server) time.Time {
+	end := request.deadline.Add(answerMargin)
+	if request.call.Model == "" {
+		return end
+	}
+	if due, replaced := request.gateway.Due(request.call.Model, server.Versions[request.call.Model]); replaced {
+		return earlier(due, end)
+	}
+	return end
+}
+
 func (request *request) bytes(server placements.Server, now time.Time) []byte {
 	header := passedOn(request.received.Header)
 	request.gateway.Dialect.Send(header, Sent{
--- a/lib/gateways/connections.go
+++ b/lib/gateways/connections.go
@@ -156,21 +156,38 @@
 // isQuiet reports whether an idle connection is open and holds no bytes that no
 // request has asked for.
 func (conn *connection) isQuiet() bool {
-	if conn.reader.Buffered() > 0 {
-		return false
+	count, err := peek(conn.Conn)
+	return conn.reader.Buffered() == 0 && count < 0 && errors.Is(err, syscall.EAGAIN)
+}
+
+// isClosedByPeer reports whether the peer has closed its end. Bytes that it sent
+// before hide the close.
+func isClosedByPeer(conn net.Conn) bool {
+	count, err := peek(conn)
+	return count == 0 || err != nil && !errors.Is(err, syscall.EAGAIN)
+}
+
+// peek looks at what has arrived on a connection without reading it. Count is
+// zero when the peer has closed, and negative with an error.
+func peek(conn net.Conn) (count int, err error) {
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return -1, syscall.EAGAIN
 	}
-	raw, err := conn.Conn.(*net.TCPConn).SyscallConn()
+	raw, err := tcp.SyscallConn()
 	if err != nil {
-		return false
+		return -1, err
 	}
-	quiet := false
 	var one [1]byte
-	err = raw.Read(func(fd uintptr) bool {
-		_, _, failed := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = errors.Is(failed, syscall.EAGAIN)
-		return true
+	var failed error
+	// Read would wait for a reader that the HTTP server keeps on the connection.
+	err = raw.Control(func(fd uintptr) {
+		count, _, failed = syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	})
-	return err == nil && quiet
+	if err != nil {
+		return -1, err
+	}
+	return count, failed
 }
 
 // send writes a whole request. The error wraps errNotSent where no byte left.
--- a/lib/gateways/gateway.go
+++ b/lib/gateways/gateway.go
@@ -38,12 +38,13 @@
 
 type (
 	// Dependencies are what a gateway needs. Least returns the oldest version of a
-	// model that may still begin a request.
+	// model that may still begin a request, Due until when the version may.
 	Dependencies struct {
 		Dialect Dialect
 		Desk    *Desk
 		Table   func() routes.Table
 		Least   func(model string, now time.Time) int
+		Due     func(model string, version int) (time.Time, bool)
 		Logger  *zap.Logger
 		Scope   tally.Scope
 	}
@@ -58,6 +59,20 @@
 	}
 )
 
+// callerKey finds the caller's connection in the context of a request.
+type callerKey struct{}
+
+// hasLeft reports whether the caller has closed its connection. The context of
+// the request tells it too, but a moment later: a machine that stood still reads
+// a request and the close behind it at once.
+func (request *request) hasLeft() bool {
+	if request.received.Context().Err() != nil {
+		return true
+	}
+	conn, found := request.received.Context().Value(callerKey{}).(net.Conn)
+	return found && isClosedByPeer(conn)
+}
+
 // New returns a gateway.
 func New(given Dependencies) *Gateway {
 	gateway := &Gateway{Dependencies: given, pool: newPool()}
@@ -66,7 +81,10 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    headerBytes,
-		ErrorLog:          zap.NewStdLog(given.Logger.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
+		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
+			return context.WithValue(ctx, callerKey{}, conn)
+		},
+		ErrorLog: zap.NewStdLog(given.Logger.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
 	}
 	return gateway
 }
--- a/lib/placements/fleet.go
+++ b/lib/placements/fleet.go
@@ -154,7 +154,7 @@
 		}
 		cost := fleet.cost(standing, usual, now) + chance()
 		if !found || cost < bestCost {
-			best, bestCost, found = standing.Server, cost, true
+			best, bestCost, found = standing.Server.WithVersions(standing.versions(now)), cost, true
 		}
 	}
 	return best, found
--- a/lib/placements/standing.go
+++ b/lib/placements/standing.go
@@ -77,6 +77,12 @@
 	Abandoned
 )
 
+// WithVersions returns the server with the versions that it serves now.
+func (server Server) WithVersions(versions map[string]int) Server {
+	server.Versions = versions
+	return server
+}
+
 // WithServer returns the standing after the platform listed the server anew.
 func (standing Standing) WithServer(server Server) Standing {
 	standing.Server = server
--- a/lib/processes/program.go
+++ b/lib/processes/program.go
@@ -51,6 +51,7 @@
 	if given.Check {
 		return 0
 	}
+	defer checkOnHangup(func() error { _, err := read(given.Settings); return err })()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	if err := run(ctx, settings); err != nil {
@@ -60,6 +61,27 @@
 	return 0
 }
 
+// checkOnHangup reads the settings again at each SIGHUP and reports what is wrong
+// with them. Without a handler the signal would end the process. New settings are
+// in force from the next start on: addresses and identity can't change before.
+func checkOnHangup(read func() error) (stop func()) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	go func() {
+		for range hangups {
+			if err := read(); err != nil {
+				fmt.Fprintf(os.Stderr, "event=\"settings changed\" error=%q\n", err)
+				continue
+			}
+			fmt.Fprintln(os.Stderr, `event="settings changed" outcome="in force from the next start on"`)
+		}
+	}()
+	return func() {
+		signal.Stop(hangups)
+		close(hangups)
+	}
+}
+
 // NewIncarnation returns a random name for one start of a process.
 func NewIncarnation() string {
 	incarnation := make([]byte, incarnationBytes)
