Plan with what peers hold, keep manifests in the store, retry own pieces

An agent that is asked to stop ends at once.

Ruled out: the rate of the links (own pieces were there 1.9 s after the naming).

--- a/cmd/agent/routed/routed.go
+++ b/cmd/agent/routed/routed.go
@@ -93,14 +93,15 @@
 	upload := rate.NewLimiter(rate.Inf, 1)
 	agent.reporter = loads.NewReporter(datagrams, agent.logger)
 	agent.node = stagings.New(stagings.Dependencies{
-		Self:     agent.self,
-		Engine:   adapter.NewEngine(agent.settings.BackendServer),
-		Origin:   adapter.NewOrigin(agent.originAddress),
-		World:    agent.world,
-		Report:   agent.report,
-		LinkMbps: agent.settings.LinkMbps,
-		Upload:   upload,
-		Logger:   agent.logger,
+		Self:      agent.self,
+		Engine:    adapter.NewEngine(agent.settings.BackendServer),
+		Origin:    adapter.NewOrigin(agent.originAddress),
+		Manifests: agent.store,
+		World:     agent.world,
+		Report:    agent.report,
+		LinkMbps:  agent.settings.LinkMbps,
+		Upload:    upload,
+		Logger:    agent.logger,
 	})
 	group, alive := errgroup.WithContext(ctx)
 	group.Go(func() error { return stagings.NewServer(agent.node, upload).Serve(alive, pieces) })
@@ -110,12 +111,13 @@
 	group.Go(func() error { agent.follow(alive, adapter.ServerTable, serverSettle, agent.takeServers); return nil })
 	group.Go(func() error { agent.node.Run(alive); return nil })
 	agent.logger.Info("started", zap.String("engine", agent.settings.BackendServer), zap.String("data_centre", agent.settings.DataCentre))
-	err = group.Wait()
-	agent.logger.Info("stopped", zap.Error(err))
+	<-alive.Done()
 	if ctx.Err() != nil {
+		// Peers keep their connections open; nothing here is worth waiting for.
+		agent.logger.Info("stopped")
 		return nil
 	}
-	return err
+	return group.Wait()
 }
 
 func (agent *agent) probe(ctx context.Context) error {
--- a/lib/stagings/exchange.go
+++ b/lib/stagings/exchange.go
@@ -35,6 +35,8 @@
 	peerIdle        = 5 * time.Second
 	pathManifest    = "/manifests/"
 	pathPiece       = "/pieces/"
+	pathHeld        = "/held/"
+	heldWhole       = "whole"
 	mostPieceBytes  = 16 << 20
 )
 
@@ -133,6 +135,10 @@
 func (server *Server) handle(ctx *fasthttp.RequestCtx) {
 	parts := strings.Split(string(ctx.Path()), "/")
 	switch {
+	case len(parts) == 4 && parts[1] == "held":
+		if content := server.node.held(parts[2], parts[3]); content != nil && content.complete() {
+			ctx.SetBodyString(heldWhole)
+		}
 	case len(parts) == 4 && parts[1] == "manifests":
 		server.manifest(ctx, parts[2], parts[3])
 	case len(parts) == 5 && parts[1] == "pieces" && ctx.IsPut():
--- a/lib/stagings/fetch.go
+++ b/lib/stagings/fetch.go
@@ -20,14 +20,16 @@
 	// pendingPatience is how long a piece is waited for that its source is still
 	// fetching: the origin's time for one copy, and the way over two links.
 	pendingPatience = 3 * time.Second
+	// originPause is the pause before the origin is asked again.
+	originPause = 100 * time.Millisecond
 	// suspicion is how long a peer that failed is not asked.
 	suspicion = 600 * time.Millisecond
 	// manifestPiece is the piece whose sources also have the manifest.
 	manifestPiece = 0
 	// manifestPatience is how long a manifest is waited for that its source is
-	// still fetching, and planLifetime how long a plan counts.
-	manifestPatience = 800 * time.Millisecond
-	planLifetime     = 250 * time.Millisecond
+	// still fetching, and mostManifestSources how many peers are asked for it.
+	manifestPatience    = 800 * time.Millisecond
+	mostManifestSources = 2
 	// receivePatience is how long no piece may arrive before this agent asks for
 	// the missing ones.
 	receivePatience = 900 * time.Millisecond
@@ -35,11 +37,22 @@
 	stagingWorkers = 4
 )
 
-// findManifest asks the peers and, where this agent is the one to do so, the
-// origin.
+// findManifest asks the store, the agent that reads it for this region and, where
+// this agent is the one to do so or nobody else has it, the origin.
 func (node *Node) findManifest(ctx context.Context, target Target) (Manifest, bool) {
+	manifest, err := node.Manifests.LoadManifest(ctx, target.Model, target.Version)
+	if err == nil {
+		err = manifest.Check(target.Model, target.Version, target.Pieces)
+	}
+	if err == nil {
+		return manifest, true
+	}
+	sources := node.plan(target).Sources(manifestPiece)
+	if len(sources) > mostManifestSources {
+		sources = append(sources[:mostManifestSources:mostManifestSources], Source{Origin: true})
+	}
 	patience := time.Now().Add(manifestPatience)
-	for _, source := range node.plan(target).Sources(manifestPiece) {
+	for _, source := range sources {
 		manifest, err := node.askManifest(ctx, source, target)
 		for errors.Is(err, errPending) && ctx.Err() == nil && time.Now().Before(patience) {
 			manifest, err = node.askManifest(ctx, source, target)
@@ -63,7 +76,18 @@
 	if !source.Origin {
 		return node.peers.manifest(source.Host.ChunkAddress, target.Model, target.Version)
 	}
-	return agreed(ctx, node.Origin, target.Model, target.Version)
+	manifest, err := agreed(ctx, node.Origin, target.Model, target.Version)
+	if err == nil {
+		go node.save(ctx, manifest)
+	}
+	return manifest, err
+}
+
+// save keeps a manifest for agents that start when nobody else has it.
+func (node *Node) save(ctx context.Context, manifest Manifest) {
+	if err := node.Manifests.SaveManifest(ctx, manifest); err != nil {
+		node.Logger.Warn("manifest not saved", zap.Int("version", manifest.Version), zap.Error(err))
+	}
 }
 
 // agreed reads the manifest from the origin until two reads say the same, since
@@ -103,7 +127,7 @@
 	if status.Versions[target.Model] == target.Version || len(status.Versions) == 0 {
 		node.recall(ctx, content)
 	}
-	plan := node.plan(target)
+	plan := node.setPlan(target, node.probe(content))
 	first, duties, rest := split(content, plan)
 	wanted := len(first) + len(duties) + len(rest)
 	if plan.first != nil {
@@ -227,6 +251,11 @@
 			return false
 		case errors.Is(err, errPending) && time.Now().Before(patience):
 			return true
+		case err != nil && len(sources) == 1 && time.Now().Before(patience):
+			// Only this agent reads the piece from the origin, so it tries again.
+			node.Logger.Info("origin did not answer", zap.Int("piece", piece), zap.Error(err))
+			sleep(ctx, originPause)
+			return true
 		case err != nil && !source.Origin && !errors.Is(err, errPending):
 			node.suspect(source.Host.Name, time.Now().Add(suspicion))
 		}
--- a/lib/stagings/node.go
+++ b/lib/stagings/node.go
@@ -66,6 +66,12 @@
 		Piece(ctx context.Context, model string, version, piece int) ([]byte, error)
 	}
 
+	// Manifests keeps manifests where they outlive every process.
+	Manifests interface {
+		LoadManifest(ctx context.Context, model string, version int) (Manifest, error)
+		SaveManifest(ctx context.Context, manifest Manifest) error
+	}
+
 	// Target is the version that the engine is to serve. Named and Due are zero for
 	// a version that was named before this process began to look: it is started as
 	// soon as it is there. Pieces is the number of pieces, zero if unknown.
@@ -89,20 +95,20 @@
 	// link. Report is told of each look at the engine; closed is set while it takes
 	// no new requests.
 	Dependencies struct {
-		Self     hosts.Host
-		Engine   Engine
-		Origin   Origin
-		World    func() World
-		Report   func(status Status, closed bool)
-		LinkMbps float64
-		Upload   *rate.Limiter
-		Logger   *zap.Logger
+		Self      hosts.Host
+		Engine    Engine
+		Origin    Origin
+		Manifests Manifests
+		World     func() World
+		Report    func(status Status, closed bool)
+		LinkMbps  float64
+		Upload    *rate.Limiter
+		Logger    *zap.Logger
 	}
 
 	planned struct {
 		plan    Plan
 		version int
-		until   time.Time
 	}
 
 	// Node brings the intended version to its engine.
@@ -310,22 +316,23 @@
 	return len(targets) > 0 && targets[len(targets)-1].Version == content.manifest.Version
 }
 
-// plan plans the fetch of a version by what is known now. Peers that do not
-// answer stay in the plan, since agents that plan with different peers leave
-// pieces to each other.
+// plan returns the plan of the fetch that is going on, or one by what the list
+// says.
 func (node *Node) plan(target Target) Plan {
-	now := time.Now()
 	node.mutex.Lock()
 	known := node.planned
 	node.mutex.Unlock()
-	if known.version == target.Version && now.Before(known.until) {
+	if known.version == target.Version {
 		return known.plan
 	}
-	seen := Surroundings{Self: node.Self, Peers: node.World().Peers}
-	plan := NewPlan(key(target.Model, target.Version), max(1, target.Pieces), seen)
+	return node.setPlan(target, node.World().Peers)
+}
+
+func (node *Node) setPlan(target Target, peers []Peer) Plan {
+	plan := NewPlan(key(target.Model, target.Version), max(1, target.Pieces), Surroundings{Self: node.Self, Peers: peers})
 	node.mutex.Lock()
 	defer node.mutex.Unlock()
-	node.planned = planned{plan: plan, version: target.Version, until: now.Add(planLifetime)}
+	node.planned = planned{plan: plan, version: target.Version}
 	return plan
 }
 
