Wait by measured reply time, serve late ones with what is left, take turns at the origin

Change: agents read the origin in turns by piece; a version that is mostly there is finished first; the waves of changes last until the entries stop sending; a request waits as long as the measured reply time leaves; one that can't be on time any more uses what the others leave.

--- a/cmd/agent/routed/routed.go
+++ b/cmd/agent/routed/routed.go
@@ -206,6 +206,9 @@
 	}
 	model := service.Engine.Models[0]
 	world := stagings.World{Targets: agent.wanted(model, service.Engine.Chunks)}
+	for _, origin := range table.Origins() {
+		world.OriginMbps = origin.OriginMbps
+	}
 	newest := world.Targets[len(world.Targets)-1].Version
 	for _, server := range *agent.servers.Load() {
 		if server.Service != agent.settings.Service || server.Draining {
--- a/lib/gateways/answers.go
+++ b/lib/gateways/answers.go
@@ -59,6 +59,12 @@
 		zap.Strings("servers", request.tried),
 		zap.Duration("after", time.Since(request.arrived)),
 	)
+	if !request.placed.IsZero() {
+		fields = append(fields, zap.Duration("placed_after", request.placed.Sub(request.arrived)))
+	}
+	if !request.first.IsZero() {
+		fields = append(fields, zap.Duration("answered_after", request.first.Sub(request.arrived)))
+	}
 	request.gateway.Logger.Info(event, fields...)
 }
 
--- a/lib/gateways/attempts.go
+++ b/lib/gateways/attempts.go
@@ -14,11 +14,12 @@
 )
 
 const (
-	// waitShare is the part of a route's target that a request may wait for a
-	// place; the rest is left to the server's first event.
-	waitShare = 0.55
-	// repeatWait is how long a request that is sent once more may wait for a place.
-	repeatWait = 700 * time.Millisecond
+	// lateWait is how long a request that can't meet its target any more may wait
+	// for a place: it uses what the others leave, and hardly ever has to be refused
+	// a second time.
+	lateWait = 1500 * time.Millisecond
+	// lateShare is the part of the time left that it may wait at most.
+	lateShare = 0.4
 	// firstEventShare is how many targets a stream may take to its first event
 	// before another server gets the request.
 	firstEventShare = 3
@@ -75,11 +76,17 @@
 	return defaultTarget
 }
 
-func (request *request) startBy() time.Time {
-	if request.sent == 0 {
-		return earlier(request.arrived.Add(time.Duration(waitShare*float64(request.target()))), request.deadline)
-	}
-	return earlier(time.Now().Add(repeatWait), request.deadline)
+// startBy returns by when the request has to be placed. Late is set where it
+// can't meet its target any more.
+func (request *request) startBy() (startBy time.Time, late bool) {
+	now := time.Now()
+	wait := request.gateway.Desk.patience(request.service, request.target())
+	startBy = request.asked.Add(wait)
+	if request.sent == 0 && !startBy.Before(now) {
+		return earlier(startBy, request.deadline), false
+	}
+	wait = min(lateWait, time.Duration(lateShare*float64(request.deadline.Sub(now))))
+	return now.Add(wait), true
 }
 
 func earlier(left, right time.Time) time.Time {
@@ -92,11 +99,12 @@
 // run sends the request to servers until it has an answer.
 func (request *request) run(ctx context.Context) {
 	for connects := 0; ; {
-		server, err := request.gateway.Desk.place(ctx, request.waiter(request.startBy()))
+		server, err := request.gateway.Desk.place(ctx, request.waiter())
 		if err != nil {
 			request.unplaced(ctx, err)
 			return
 		}
+		request.placed = time.Now()
 		request.tried = append(request.tried, server.ID)
 		outcome := request.try(ctx, server)
 		request.gateway.Desk.end(server, placeOutcome(outcome))
@@ -227,7 +235,8 @@
 	if reply.NotRun {
 		return notRun{misdirected: reply.Misdirected}
 	}
-	gateway.Desk.reply(server, time.Since(began))
+	request.first = time.Now()
+	gateway.Desk.reply(server, request.first.Sub(began))
 	outcome := request.pass(conn, response, reply)
 	if stop() && reusable(outcome, response) {
 		kept = true
--- a/lib/gateways/desk.go
+++ b/lib/gateways/desk.go
@@ -18,7 +18,9 @@
 	// serviceAllowance is the same for a plain service.
 	serviceAllowance = 0
 	// leastRetryAfter keeps callers from coming back before anything has changed.
-	leastRetryAfter = 200 * time.Millisecond
+	leastRetryAfter = 700 * time.Millisecond
+	// retrySpread is the part of that time over which callers come back.
+	retrySpread = 1.0
 )
 
 type (
@@ -75,6 +77,14 @@
 	return desk.fleet.Len()
 }
 
+// patience returns how long a request may wait for a place and still meet its
+// target.
+func (desk *Desk) patience(service string, target time.Duration) time.Duration {
+	desk.mutex.Lock()
+	defer desk.mutex.Unlock()
+	return desk.fleet.Patience(service, target)
+}
+
 // place returns a server with room for the request, waiting for one until the
 // waiter has to start. The error is a *refusal unless the context ended first.
 // Each placed request has to be given back with end.
@@ -126,8 +136,12 @@
 	return placements.Server{}, grant, waiter.Number, nil
 }
 
+// refusalAfter tells when there should be room: after the present wait, or when
+// an overload of a few seconds has passed. The times are spread, so that callers
+// that were refused together do not come back together.
 func (desk *Desk) refusalAfter(wait time.Duration, reason string) error {
-	return &refusal{reason: reason, after: max(leastRetryAfter, wait)}
+	after := max(leastRetryAfter, wait)
+	return &refusal{reason: reason, after: after + time.Duration(rand.Float64()*retrySpread*float64(after))}
 }
 
 func (desk *Desk) refuse(waiter placements.Waiter, reason string) error {
--- a/lib/gateways/gateway.go
+++ b/lib/gateways/gateway.go
@@ -53,6 +53,7 @@
 	Gateway struct {
 		Dependencies
 		pool    *pool
+		budgets *budgets
 		leaving atomic.Bool
 		running atomic.Int64
 		server  *http.Server
@@ -75,7 +76,7 @@
 
 // New returns a gateway.
 func New(given Dependencies) *Gateway {
-	gateway := &Gateway{Dependencies: given, pool: newPool()}
+	gateway := &Gateway{Dependencies: given, pool: newPool(), budgets: newBudgets()}
 	gateway.server = &http.Server{
 		Handler:           gateway,
 		ReadHeaderTimeout: headerTimeout,
@@ -139,11 +140,16 @@
 	body     []byte
 	arrived  time.Time
 	deadline time.Time
+	// asked is when the caller first asked, as far as its time left tells: a caller
+	// that comes back after a refusal has less of it.
+	asked time.Time
 	// tried names the servers that got the request; sent counts them.
 	tried []string
 	sent  int
 	// mayHaveRun is set once a server may have run the request.
 	mayHaveRun bool
+	// placed is when the last place was found, first when the last answer began.
+	placed, first time.Time
 	// streaming is set once the head of an answer was passed on; lastEvent is the
 	// last event that the caller got.
 	streaming bool
@@ -165,6 +171,7 @@
 	request.match = match
 	request.service = match.Route.Service(rand.Float64())
 	request.deadline = request.end()
+	request.asked = request.arrived.Add(-request.gateway.budgets.spent(match.Route.Name, request.call.Budget))
 	if !request.readBody(table.Limits().BodyBytes) {
 		return
 	}
@@ -209,11 +216,12 @@
 }
 
 // waiter returns the request as one that waits for a place.
-func (request *request) waiter(startBy time.Time) placements.Waiter {
+func (request *request) waiter() placements.Waiter {
+	startBy, late := request.startBy()
 	need := placements.Need{Service: request.service, Tried: request.tried}
 	if request.call.Model != "" {
 		need.Model = request.call.Model
 		need.LeastVersion = request.gateway.Least(need.Model, time.Now())
 	}
-	return placements.Waiter{Priority: request.match.Priority(), StartBy: startBy, Need: need}
+	return placements.Waiter{Priority: request.match.Priority(), Late: late, StartBy: startBy, Need: need}
 }
--- a/lib/placements/fleet.go
+++ b/lib/placements/fleet.go
@@ -20,6 +20,13 @@
 	// slownessCost is what a reply time of twice the fleet's usual one counts in
 	// the choice, in requests.
 	slownessCost = 2.0
+	// unknownWait is the part of the target that a request may wait while no reply
+	// time is known.
+	unknownWait = 0.5
+	// replySpread covers most replies that take longer than the mean.
+	replySpread = 1.4
+	// leastWait lets a request wait for a place that becomes free at once.
+	leastWait = 20 * time.Millisecond
 	// lapseGrace is how long a server stays in use that the platform's list lost
 	// while the store was away: servers that live are listed again by then.
 	lapseGrace = 1800 * time.Millisecond
@@ -188,6 +195,16 @@
 	return cost
 }
 
+// Patience returns how long a request with this target may wait for a place at
+// the service and still be answered in time, by how long servers took of late.
+func (fleet *Fleet) Patience(service string, target time.Duration) time.Duration {
+	usual := fleet.usualReply(service)
+	if usual == 0 {
+		return time.Duration(unknownWait * float64(target))
+	}
+	return max(leastWait, target-time.Duration(replySpread*float64(usual)))
+}
+
 // usualReply returns the mean smoothed reply time of a service.
 func (fleet *Fleet) usualReply(service string) time.Duration {
 	var sum time.Duration
--- a/lib/placements/line.go
+++ b/lib/placements/line.go
@@ -14,17 +14,20 @@
 
 type (
 	// Waiter is a request that waits for a place. StartBy is the latest time at
-	// which it still meets its target; a request that is not placed by then is
-	// refused.
+	// which it may get one; a request that is not placed by then is refused. Late
+	// is set where the request can't meet its target any more, since it came back
+	// after a refusal or a server failed it.
 	Waiter struct {
 		Number   uint64
 		Priority int
+		Late     bool
 		StartBy  time.Time
 		Need     Need
 	}
 
-	// Line is the waiting line of one service: the highest rank first, within a
-	// rank whoever has to start first. It is immutable.
+	// Line is the waiting line of one service: those that can still be on time
+	// before those that can't, which use what is left; then the highest rank, and
+	// within a rank whoever has to start first. It is immutable.
 	Line struct {
 		waiters []Waiter
 	}
@@ -72,6 +75,9 @@
 }
 
 func (waiter Waiter) before(other Waiter) bool {
+	if waiter.Late != other.Late {
+		return other.Late
+	}
 	if waiter.Priority != other.Priority {
 		return waiter.Priority < other.Priority
 	}
--- a/lib/stagings/content.go
+++ b/lib/stagings/content.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"sync"
+	"time"
 
 	"firford/lib/weights"
 )
@@ -25,7 +26,9 @@
 		mutex    sync.Mutex
 		pieces   [][]byte
 		count    int
-		changed  chan struct{}
+		// whole is when the last piece arrived.
+		whole   time.Time
+		changed chan struct{}
 	}
 )
 
@@ -66,6 +69,9 @@
 	if content.pieces[piece] == nil {
 		content.pieces[piece] = body
 		content.count++
+		if content.count == len(content.pieces) {
+			content.whole = time.Now()
+		}
 		close(content.changed)
 		content.changed = make(chan struct{})
 	}
@@ -88,6 +94,21 @@
 	return content.count == len(content.pieces)
 }
 
+// isMostlyThere reports whether more than half of the pieces are there, but not
+// all.
+func (content *content) isMostlyThere() bool {
+	content.mutex.Lock()
+	defer content.mutex.Unlock()
+	return content.count < len(content.pieces) && 2*content.count > len(content.pieces)
+}
+
+// wholeAt returns when the last piece arrived.
+func (content *content) wholeAt() time.Time {
+	content.mutex.Lock()
+	defer content.mutex.Unlock()
+	return content.whole
+}
+
 // missing returns the pieces that are not there yet.
 func (content *content) missing() []int {
 	content.mutex.Lock()
--- a/lib/stagings/fetch.go
+++ b/lib/stagings/fetch.go
@@ -131,7 +131,7 @@
 	first, duties, rest := split(content, plan)
 	wanted := len(first) + len(duties) + len(rest)
 	if plan.first != nil {
-		node.fetchAll(ctx, content, target, first)
+		node.readFirst(ctx, content, target, first)
 		node.Logger.Info("own pieces read from the origin", zap.Int("pieces", len(first)), zap.Int("missing", len(content.missing())), zap.Duration("took", time.Since(began)))
 		node.receive(ctx, content)
 		_, duties, rest = split(content, plan)
@@ -145,12 +145,33 @@
 	return content.complete()
 }
 
+// readFirst reads this agent's own pieces from the origin, each at its turn: the
+// agents take turns by the number of the piece, so that the first pieces are
+// there after one piece's time and can be handed on, instead of all at once.
+func (node *Node) readFirst(ctx context.Context, content *content, target Target, pieces []int) {
+	span := pieceTime(content.manifest.PieceBytes, node.World().OriginMbps)
+	for _, piece := range pieces {
+		if !target.Named.IsZero() {
+			sleep(ctx, time.Until(target.Named.Add(span*time.Duration(piece))))
+		}
+		node.fetchAll(ctx, content, target, []int{piece})
+	}
+}
+
+// pieceTime returns how long a piece takes over a link.
+func pieceTime(bytes int64, mbps float64) time.Duration {
+	if mbps <= 0 {
+		return 0
+	}
+	return time.Duration(float64(bytes) * bitsPerByte / (mbps * megabit) * float64(time.Second))
+}
+
 // receive waits until the other agents have handed over all pieces, or have
 // stopped to.
 func (node *Node) receive(ctx context.Context, content *content) {
 	missing := len(content.missing())
 	for quietAt := time.Now().Add(receivePatience); missing > 0; sleep(ctx, stepPause) {
-		if ctx.Err() != nil || time.Now().After(quietAt) || !node.isNewest(content) {
+		if ctx.Err() != nil || time.Now().After(quietAt) || !node.isWanted(content) {
 			return
 		}
 		if now := len(content.missing()); now < missing {
@@ -193,7 +214,7 @@
 	for range node.workers() {
 		group.Go(func() {
 			for piece := range queue {
-				if ctx.Err() == nil && node.isNewest(content) && node.fetch(ctx, content, piece, node.plan(target).Sources(piece), patience) {
+				if ctx.Err() == nil && node.isWanted(content) && node.fetch(ctx, content, piece, node.plan(target).Sources(piece), patience) {
 					queue <- piece
 					continue
 				}
@@ -261,7 +282,7 @@
 		}
 		node.Logger.Info("piece not fetched", zap.Int("piece", piece), zap.Bool("origin", source.Origin),
 			zap.String("peer", source.Host.Name), zap.Bool("spoilt", err == nil), zap.Error(err))
-		if ctx.Err() != nil || !node.isNewest(content) {
+		if ctx.Err() != nil || !node.isWanted(content) {
 			return false
 		}
 	}
--- a/lib/stagings/hand.go
+++ b/lib/stagings/hand.go
@@ -60,7 +60,7 @@
 }
 
 func (node *Node) deliver(ctx context.Context, next handover) {
-	if !node.isNewest(next.content) || node.isSuspect(next.to.Name) {
+	if !node.isWanted(next.content) || node.isSuspect(next.to.Name) {
 		return
 	}
 	body, _ := next.content.get(next.piece)
--- a/lib/stagings/node.go
+++ b/lib/stagings/node.go
@@ -22,7 +22,7 @@
 	stepPause = 60 * time.Millisecond
 	// liveShare is the part of the link that transfers use while the engine answers
 	// requests; an engine that answers none uses all of it.
-	liveShare = 0.55
+	liveShare = 0.85
 	// keptVersions is how many versions' pieces are kept for peers.
 	keptVersions = 2
 	bitsPerByte  = 8
@@ -85,10 +85,12 @@
 
 	// World is what the agent knows of the rest of the system. Targets are the
 	// versions of the engine's model from the oldest to the newest; the last one is
-	// the version that the engine has to come to in the end.
+	// the version that the engine has to come to in the end. OriginMbps is the rate
+	// of the origin's link, zero if unknown.
 	World struct {
-		Targets []Target
-		Peers   []Peer
+		Targets    []Target
+		Peers      []Peer
+		OriginMbps float64
 	}
 
 	// Dependencies are what a node needs. LinkMbps is the rate of the machine's
@@ -147,7 +149,7 @@
 	for range handWorkers {
 		go node.handOn(ctx)
 	}
-	go repeat(ctx, node.fetchNewest)
+	go repeat(ctx, node.fetchNext)
 	repeat(ctx, node.startNext)
 }
 
@@ -240,20 +242,37 @@
 	return node.contents[version]
 }
 
-// fetchNewest brings the content of the newest version and reports whether
-// there was anything to do.
-func (node *Node) fetchNewest(ctx context.Context) bool {
-	targets := node.World().Targets
+// fetchNext brings the content of the version that is wanted next and reports
+// whether there was anything to do.
+func (node *Node) fetchNext(ctx context.Context) bool {
+	target, found := node.goal()
 	status, seen := node.current()
-	if len(targets) == 0 || !seen {
+	if !found || !seen {
 		return false
 	}
-	newest := targets[len(targets)-1]
-	content := node.open(ctx, newest)
+	content := node.open(ctx, target)
 	if content == nil || content.complete() {
 		return false
 	}
-	return node.fill(ctx, content, newest, status)
+	return node.fill(ctx, content, target, status)
+}
+
+// goal returns the version to fetch: the newest one, or an older one of which
+// more than half is there. That one is finished first, because the engine has to
+// leave its old version before the newest one can be there.
+func (node *Node) goal() (Target, bool) {
+	targets := node.World().Targets
+	if len(targets) == 0 {
+		return Target{}, false
+	}
+	status, _ := node.current()
+	for _, target := range targets[:len(targets)-1] {
+		content := node.content(target.Version)
+		if content != nil && target.Version > status.Versions[target.Model] && content.isMostlyThere() {
+			return target, true
+		}
+	}
+	return targets[len(targets)-1], true
 }
 
 // open returns the content of the target, with its manifest.
@@ -310,10 +329,13 @@
 	return Target{}, nil
 }
 
-// isNewest reports whether the content is still that of the newest version.
-func (node *Node) isNewest(content *content) bool {
+// isWanted reports whether the content is that of the newest version or of the
+// one to fetch.
+func (node *Node) isWanted(content *content) bool {
 	targets := node.World().Targets
-	return len(targets) > 0 && targets[len(targets)-1].Version == content.manifest.Version
+	goal, found := node.goal()
+	version := content.manifest.Version
+	return found && (goal.Version == version || targets[len(targets)-1].Version == version)
 }
 
 // plan returns the plan of the fetch that is going on, or one by what the list
--- a/lib/stagings/sources_test.go
+++ b/lib/stagings/sources_test.go
@@ -106,15 +106,18 @@
 		target := Target{Named: named, Due: named.Add(8 * time.Second)}
 		last := time.Time{}
 		for place := range 20 {
-			at := StartAt(target, place, 20, false)
+			at := StartAt(target, named, place, 20, false)
 			convey.So(at.After(last), convey.ShouldBeTrue)
 			convey.So(at.After(target.Due.Add(-lastWave)), convey.ShouldBeFalse)
 			last = at
 		}
-		convey.So(last.Sub(StartAt(target, 0, 20, false)), convey.ShouldBeGreaterThan, 3*time.Second)
-		convey.So(StartAt(target, 19, 20, true), convey.ShouldEqual, named)
+		whole := named.Add(5 * time.Second)
+		convey.So(StartAt(target, whole, 0, 20, false), convey.ShouldEqual, whole)
+		convey.So(StartAt(target, whole, 10, 20, false).After(whole.Add(time.Second)), convey.ShouldBeTrue)
+		convey.So(last.Sub(StartAt(target, named, 0, 20, false)), convey.ShouldBeGreaterThan, 3*time.Second)
+		convey.So(StartAt(target, named, 19, 20, true), convey.ShouldEqual, named)
 	})
 	convey.Convey("Given a version that was named before the process began", t, func() {
-		convey.So(StartAt(Target{}, 19, 20, false).IsZero(), convey.ShouldBeTrue)
+		convey.So(StartAt(Target{}, time.Time{}, 19, 20, false).IsZero(), convey.ShouldBeTrue)
 	})
 }
--- a/lib/stagings/start.go
+++ b/lib/stagings/start.go
@@ -23,9 +23,10 @@
 	// firstWave is when the first engines change to a version after it was named:
 	// by then its pieces have usually arrived.
 	firstWave = 2500 * time.Millisecond
-	// lastWave is how long before the due time the last engines change, so that
-	// they can finish what they run and load.
-	lastWave = 2200 * time.Millisecond
+	// lastWave is how long before the due time the last engines change. Entries
+	// send nothing more to an older version from about then on, so a later change
+	// would only keep an engine idle.
+	lastWave = 900 * time.Millisecond
 )
 
 var (
@@ -34,22 +35,26 @@
 )
 
 // StartAt returns when the engine with this place among count may change to the
-// target. The changes are spread evenly, so that as few engines as possible are
-// away at any time. An engine that serves nothing starts at once.
-func StartAt(target Target, place, count int, empty bool) time.Time {
+// target, whose pieces have been there since whole. The changes are spread
+// evenly, so that as few engines as possible are away at any time. An engine that
+// serves nothing starts at once.
+func StartAt(target Target, whole time.Time, place, count int, empty bool) time.Time {
 	if empty || target.Named.IsZero() || count <= 0 {
-		return target.Named
+		return whole
 	}
 	first, last := target.Named.Add(firstWave), target.Due.Add(-lastWave)
+	if first.Before(whole) {
+		first = whole
+	}
 	if last.Before(first) {
-		return target.Named
+		return whole
 	}
 	return first.Add(last.Sub(first) * time.Duration(place) / time.Duration(count))
 }
 
 // start checks what lies beside the engine and orders it to start.
 func (node *Node) start(ctx context.Context, content *content, target Target, status Status) bool {
-	at := StartAt(target, hosts.Position(key(target.Model, target.Version), node.Self.Name, node.all()), len(node.all()), len(status.Versions) == 0)
+	at := StartAt(target, content.wholeAt(), hosts.Position(key(target.Model, target.Version), node.Self.Name, node.all()), len(node.all()), len(status.Versions) == 0)
 	if time.Now().Before(at) {
 		return false
 	}
