Choose engines by waiting prompt tokens; drain briefly, cut and resume; keep other versions out of the stage

Change: entries tell the agent of each prompt, its reports carry the unread tokens, and a request goes where its first event is predicted soonest, or waits; an engine drains for 0.5 s, then its streams are cut and go on elsewhere, on engines of the new version where there are any; only the version that is being started may be laid beside the engine.

--- a/cmd/entry/routed/routed.go
+++ b/cmd/entry/routed/routed.go
@@ -59,6 +59,7 @@
 	table    atomic.Pointer[routes.Table]
 	targets  atomic.Pointer[placements.Targets]
 	agents   atomic.Pointer[[]netip.AddrPort]
+	loads    *loads.Listener
 	listed   atomic.Bool
 	leaving  atomic.Bool
 	began    bool
@@ -75,8 +76,8 @@
 		logger:   logger,
 		metrics:  metrics.New("firford_entry"),
 		store:    adapter.NewStore(settings.PlatformAddress),
-		desk:     gateways.NewDesk(placements.NewFleet(settings.DataCentre)),
 	}
+	entry.desk = gateways.NewDesk(placements.NewFleet(settings.DataCentre), entry.notify)
 	entry.table.Store(&routes.Table{})
 	entry.targets.Store(&placements.Targets{})
 	entry.agents.Store(&[]netip.AddrPort{})
@@ -104,6 +105,7 @@
 	if err != nil {
 		return fmt.Errorf("listen for reports: %w", err)
 	}
+	entry.loads = loads.NewListener(datagrams, func() []netip.AddrPort { return *entry.agents.Load() }, entry.takeReport, entry.logger)
 	group, alive := errgroup.WithContext(alive)
 	group.Go(func() error { return entry.gateway.Serve(callers) })
 	group.Go(func() error { return entry.probe(alive, entry.settings.Admin) })
@@ -111,7 +113,7 @@
 	go entry.follow(alive, adapter.OperatorTable, operatorWait, 0, entry.takeOperator)
 	go entry.follow(alive, adapter.ServerTable, serverWait, serverSettle, entry.takeServers)
 	go entry.expire(alive)
-	go loads.NewListener(datagrams, func() []netip.AddrPort { return *entry.agents.Load() }, entry.takeReport, entry.logger).Run(alive)
+	go entry.loads.Run(alive)
 	entry.logger.Info("started", zap.String("data_centre", entry.settings.DataCentre), zap.String("callers", entry.settings.Callers))
 	select {
 	case <-ctx.Done():
@@ -173,6 +175,7 @@
 	case found && configuration.Version > entry.table.Load().Version():
 		table := routes.New(configuration)
 		entry.table.Store(&table)
+		entry.desk.Change(func(fleet *placements.Fleet, _ time.Time) { fleet.Engines(engines(table)) })
 		entry.logger.Info("configuration in force", zap.Int64("version", configuration.Version), zap.Int64("revision", view.Revision))
 	}
 	named, problems := adapter.NamedVersions(view.Rows)
@@ -189,6 +192,22 @@
 	entry.targets.Store(&targets)
 }
 
+// engines returns the figures of each service's engines that decide how soon they
+// answer.
+func engines(table routes.Table) map[string]placements.Engine {
+	list := map[string]placements.Engine{}
+	for _, service := range table.Engines() {
+		figures := service.Engine
+		step := figures.Step + time.Duration(figures.Slots)*figures.StepPerRequest
+		list[service.Name] = placements.Engine{
+			TokensPerS: max(1, figures.PrefillPerS),
+			Pass:       time.Duration(max(1, figures.Stride)) * step,
+			SlotTime:   time.Duration(figures.UsualAnswer/float64(max(1, figures.Slots))) * step,
+		}
+	}
+	return list
+}
+
 func (entry *entry) logProblems(problems []error) {
 	for _, problem := range problems {
 		entry.logger.Warn("row not read", zap.Error(problem))
@@ -225,6 +244,16 @@
 	return netip.AddrPortFrom(address.Addr(), uint16(port))
 }
 
+// notify tells the agent beside an engine of a request.
+func (entry *entry) notify(notice gateways.Notice) {
+	agent := agentAddress(notice.Server, entry.settings.PeerPort)
+	if notice.Answered {
+		entry.loads.Answered(agent, notice.Number)
+		return
+	}
+	entry.loads.Sent(agent, notice.Number, notice.Tokens)
+}
+
 func (entry *entry) takeReport(report placements.Report) {
 	entry.desk.Change(func(fleet *placements.Fleet, now time.Time) { fleet.Report(report, now) })
 }
--- a/lib/gateways/attempts.go
+++ b/lib/gateways/attempts.go
@@ -81,6 +81,10 @@
 func (request *request) startBy() (startBy time.Time, late bool) {
 	now := time.Now()
 	wait := request.gateway.Desk.patience(request.service, request.target())
+	if request.streaming {
+		// The caller is in the middle of a stream: it goes on within the longest pause.
+		return earlier(now.Add(request.pause()), request.deadline), false
+	}
 	startBy = request.asked.Add(wait)
 	if request.sent == 0 && !startBy.Before(now) {
 		return earlier(startBy, request.deadline), false
@@ -89,6 +93,14 @@
 	return now.Add(wait), true
 }
 
+// pause returns the longest pause between events that is still on time.
+func (request *request) pause() time.Duration {
+	if request.match.Route.EventGap > 0 {
+		return request.match.Route.EventGap
+	}
+	return request.target()
+}
+
 func earlier(left, right time.Time) time.Time {
 	if left.Before(right) {
 		return left
@@ -99,15 +111,16 @@
 // run sends the request to servers until it has an answer.
 func (request *request) run(ctx context.Context) {
 	for connects := 0; ; {
-		server, err := request.gateway.Desk.place(ctx, request.waiter())
+		taken, err := request.gateway.Desk.take(ctx, request.waiter())
 		if err != nil {
 			request.unplaced(ctx, err)
 			return
 		}
+		server := taken.server
 		request.placed = time.Now()
 		request.tried = append(request.tried, server.ID)
-		outcome := request.try(ctx, server)
-		request.gateway.Desk.end(server, placeOutcome(outcome))
+		outcome := request.try(ctx, taken)
+		request.gateway.Desk.end(taken, placeOutcome(outcome))
 		switch outcome := outcome.(type) {
 		case delivered:
 			return
@@ -205,8 +218,8 @@
 }
 
 // try sends the request to one server and passes its answer on.
-func (request *request) try(ctx context.Context, server placements.Server) result {
-	gateway := request.gateway
+func (request *request) try(ctx context.Context, taken *place) result {
+	gateway, server := request.gateway, taken.server
 	onlyNew := !request.match.Route.MayRepeat()
 	conn, err := gateway.pool.get(ctx, server.ID, server.Address, onlyNew)
 	if err != nil {
@@ -236,7 +249,7 @@
 		return notRun{misdirected: reply.Misdirected}
 	}
 	request.first = time.Now()
-	gateway.Desk.reply(server, request.first.Sub(began))
+	gateway.Desk.reply(taken, request.first.Sub(began))
 	outcome := request.pass(conn, response, reply)
 	if stop() && reusable(outcome, response) {
 		kept = true
@@ -383,12 +396,7 @@
 	}
 }
 
-func (request *request) eventGap() time.Duration {
-	if request.match.Route.EventGap > 0 {
-		return gapShare * request.match.Route.EventGap
-	}
-	return gapShare * request.target()
-}
+func (request *request) eventGap() time.Duration { return gapShare * request.pause() }
 
 // beginStream sends the head of the answer once. A server that continues the
 // stream does not change it.
--- a/lib/gateways/desk.go
+++ b/lib/gateways/desk.go
@@ -32,8 +32,26 @@
 		lines   map[string]placements.Line
 		paces   map[string]placements.Pace
 		budgets map[string]backends.RetryBudget
-		granted map[uint64]chan placements.Server
+		granted map[uint64]chan *place
 		number  uint64
+		notify  func(Notice)
+	}
+
+	// place is a request's place at a server. It is used by one goroutine.
+	place struct {
+		server   placements.Server
+		number   uint64
+		tokens   int
+		answered bool
+	}
+
+	// Notice tells the agent beside a server of a request of this entry: that it
+	// was sent, with its prompt tokens, or that it needs no reading any more.
+	Notice struct {
+		Server   placements.Server
+		Number   uint64
+		Tokens   int
+		Answered bool
 	}
 
 	// refusal tells why a request got no place and after which time it should come
@@ -48,14 +66,16 @@
 	return fmt.Sprintf("%s, come back in %s", refusal.reason, refusal.after)
 }
 
-// NewDesk returns a desk that places at the fleet.
-func NewDesk(fleet *placements.Fleet) *Desk {
+// NewDesk returns a desk that places at the fleet and tells notify of requests to
+// engines. Notify must not block.
+func NewDesk(fleet *placements.Fleet, notify func(Notice)) *Desk {
 	return &Desk{
+		notify:  notify,
 		fleet:   fleet,
 		lines:   map[string]placements.Line{},
 		paces:   map[string]placements.Pace{},
 		budgets: map[string]backends.RetryBudget{},
-		granted: map[uint64]chan placements.Server{},
+		granted: map[uint64]chan *place{},
 	}
 }
 
@@ -85,55 +105,55 @@
 	return desk.fleet.Patience(service, target)
 }
 
-// place returns a server with room for the request, waiting for one until the
+// take returns a place at a server with room for the request, waiting for one until the
 // waiter has to start. The error is a *refusal unless the context ended first.
 // Each placed request has to be given back with end.
-func (desk *Desk) place(ctx context.Context, waiter placements.Waiter) (placements.Server, error) {
-	server, grant, number, err := desk.ask(waiter)
-	if err != nil || grant == nil {
-		return server, err
+func (desk *Desk) take(ctx context.Context, waiter placements.Waiter) (*place, error) {
+	taken, grant, number, err := desk.ask(waiter)
+	if err != nil || taken != nil {
+		return taken, err
 	}
 	timer := time.NewTimer(time.Until(waiter.StartBy))
 	defer timer.Stop()
 	select {
-	case server := <-grant:
-		return server, nil
+	case taken := <-grant:
+		return taken, nil
 	case <-timer.C:
 		err = desk.refuse(waiter, "no place in time")
 	case <-ctx.Done():
 		err = context.Cause(ctx)
 	}
-	if server, placed := desk.leave(waiter.Need.Service, number, grant); placed {
+	if taken := desk.leave(waiter.Need.Service, number, grant); taken != nil {
 		if ctx.Err() == nil {
-			return server, nil
+			return taken, nil
 		}
-		desk.end(server, placements.Abandoned)
+		desk.end(taken, placements.Abandoned)
 	}
-	return placements.Server{}, err
+	return nil, err
 }
 
 // ask places the request at once, refuses it or puts it into the line.
-func (desk *Desk) ask(waiter placements.Waiter) (placements.Server, chan placements.Server, uint64, error) {
+func (desk *Desk) ask(waiter placements.Waiter) (*place, chan *place, uint64, error) {
 	desk.mutex.Lock()
 	defer desk.mutex.Unlock()
 	now := time.Now()
 	service := waiter.Need.Service
 	ahead := desk.lines[service].Ahead(waiter)
 	if ahead == 0 {
-		if server, found := desk.start(waiter.Need, now); found {
-			return server, nil, 0, nil
+		if taken := desk.start(waiter.Need, now); taken != nil {
+			return taken, nil, 0, nil
 		}
 	}
 	wait := desk.paces[service].Until(ahead, now)
 	if now.Add(wait).After(waiter.StartBy) {
-		return placements.Server{}, nil, 0, desk.refusalAfter(wait, "too many wait")
+		return nil, nil, 0, desk.refusalAfter(wait, "too many wait")
 	}
 	desk.number++
 	waiter.Number = desk.number
-	grant := make(chan placements.Server, 1)
+	grant := make(chan *place, 1)
 	desk.granted[waiter.Number] = grant
 	desk.lines[service] = desk.lines[service].With(waiter)
-	return placements.Server{}, grant, waiter.Number, nil
+	return nil, grant, waiter.Number, nil
 }
 
 // refusalAfter tells when there should be room: after the present wait, or when
@@ -152,62 +172,79 @@
 	return desk.refusalAfter(desk.paces[service].Until(len(desk.lines[service].Waiters()), now), reason)
 }
 
-func (desk *Desk) start(need placements.Need, now time.Time) (placements.Server, bool) {
+func (desk *Desk) start(need placements.Need, now time.Time) *place {
 	allowance := serviceAllowance
 	if need.Model != "" {
 		allowance = engineAllowance
 	}
 	server, found := desk.fleet.Choose(need, allowance, now, rand.Float64)
-	if found {
-		desk.fleet.Start(server.ID)
-		desk.paces[need.Service] = desk.paces[need.Service].WithStart(now)
+	if !found {
+		return nil
 	}
-	return server, found
+	desk.number++
+	taken := &place{server: server, number: desk.number, tokens: need.Tokens}
+	desk.fleet.Start(server.ID, need.Tokens)
+	desk.paces[need.Service] = desk.paces[need.Service].WithStart(now)
+	if taken.tokens > 0 {
+		desk.notify(Notice{Server: server, Number: taken.number, Tokens: taken.tokens})
+	}
+	return taken
 }
 
 func (desk *Desk) dispatch(service string, now time.Time) {
 	for _, waiter := range desk.lines[service].Waiters() {
-		server, found := desk.start(waiter.Need, now)
-		if !found {
-			if len(waiter.Need.Tried) > 0 {
-				continue
-			}
-			return
+		taken := desk.start(waiter.Need, now)
+		if taken == nil {
+			continue
 		}
 		desk.lines[service] = desk.lines[service].Without(waiter.Number)
-		desk.granted[waiter.Number] <- server
+		desk.granted[waiter.Number] <- taken
 		delete(desk.granted, waiter.Number)
 	}
 }
 
-// leave takes a waiter out of the line, unless it has been placed meanwhile.
-func (desk *Desk) leave(service string, number uint64, grant chan placements.Server) (placements.Server, bool) {
+// leave takes a waiter out of the line and returns its place, if it has been
+// given one meanwhile.
+func (desk *Desk) leave(service string, number uint64, grant chan *place) *place {
 	desk.mutex.Lock()
 	defer desk.mutex.Unlock()
 	desk.lines[service] = desk.lines[service].Without(number)
 	delete(desk.granted, number)
 	select {
-	case server := <-grant:
-		return server, true
+	case taken := <-grant:
+		return taken
 	default:
-		return placements.Server{}, false
+		return nil
 	}
 }
 
 // end gives a place back.
-func (desk *Desk) end(server placements.Server, outcome placements.Outcome) {
+func (desk *Desk) end(taken *place, outcome placements.Outcome) {
 	desk.mutex.Lock()
 	defer desk.mutex.Unlock()
 	now := time.Now()
-	desk.fleet.End(server.ID, outcome, now)
-	desk.dispatch(server.Service, now)
+	desk.answer(taken)
+	desk.fleet.End(taken.server.ID, outcome, now)
+	desk.dispatch(taken.server.Service, now)
+}
+
+// answer records that the server needs not read the request any more.
+func (desk *Desk) answer(taken *place) {
+	if taken.answered || taken.tokens == 0 {
+		return
+	}
+	taken.answered = true
+	desk.fleet.Answer(taken.server.ID, taken.tokens)
+	desk.notify(Notice{Server: taken.server, Number: taken.number, Answered: true})
 }
 
 // reply records the time to the first event or answer of a request.
-func (desk *Desk) reply(server placements.Server, after time.Duration) {
+func (desk *Desk) reply(taken *place, after time.Duration) {
 	desk.mutex.Lock()
 	defer desk.mutex.Unlock()
-	desk.fleet.Reply(server.ID, after)
+	desk.answer(taken)
+	desk.fleet.Reply(taken.server.ID, after)
+	desk.dispatch(taken.server.Service, time.Now())
 }
 
 // arrive counts a request of a caller for the retry budget of its service.
--- a/lib/gateways/dialect.go
+++ b/lib/gateways/dialect.go
@@ -25,6 +25,8 @@
 		LastEvent string
 		Deadline  time.Time
 		Budget    time.Duration
+		// PromptTokens is the length of the prompt, zero if unknown.
+		PromptTokens int
 	}
 
 	// Sent is what a backend server is told beside the caller's own headers.
--- a/lib/gateways/fakes_test.go
+++ b/lib/gateways/fakes_test.go
@@ -183,7 +183,7 @@
 		list = append(list, placements.Server{ID: strconv.Itoa(i), Service: "desk", Address: server.address, DataCentre: "nairobi", Slots: slots * 4})
 	}
 	fleet.List(list, time.Time{}, time.Now())
-	desk := NewDesk(fleet)
+	desk := NewDesk(fleet, func(Notice) {})
 	table := routes.New(configuration())
 	gateway := New(Dependencies{
 		Dialect: dialect{}, Desk: desk, Table: func() routes.Table { return table },
--- a/lib/gateways/gateway.go
+++ b/lib/gateways/gateway.go
@@ -218,10 +218,17 @@
 // waiter returns the request as one that waits for a place.
 func (request *request) waiter() placements.Waiter {
 	startBy, late := request.startBy()
-	need := placements.Need{Service: request.service, Tried: request.tried}
+	need := placements.Need{
+		Service: request.service, Tried: request.tried, Tokens: request.call.PromptTokens,
+		FirstBy: request.asked.Add(request.target()), Late: late,
+	}
 	if request.call.Model != "" {
 		need.Model = request.call.Model
 		need.LeastVersion = request.gateway.Least(need.Model, time.Now())
 	}
+	if request.streaming {
+		need.FirstBy = startBy
+		need.Resumed = true
+	}
 	return placements.Waiter{Priority: request.match.Priority(), Late: late, StartBy: startBy, Need: need}
 }
--- a/lib/loads/loads.go
+++ b/lib/loads/loads.go
@@ -28,13 +28,39 @@
 	// refreshInterval is how often an unchanged report is sent again.
 	refreshInterval = 450 * time.Millisecond
 	datagramBytes   = 2048
+	// unreadLifetime is longer than any prompt waits, and mostUnread more than an
+	// engine can queue.
+	unreadLifetime = 3 * time.Second
+	mostUnread     = 4096
 )
 
 type (
-	// message is the only datagram. Subscribe is set by entries, Report by agents.
+	// message is the only datagram. Subscribe and Request are set by entries, Report
+	// by agents.
 	message struct {
-		Subscribe bool    `json:"subscribe,omitempty"`
-		Report    *report `json:"report,omitempty"`
+		Subscribe bool     `json:"subscribe,omitempty"`
+		Request   *request `json:"request,omitempty"`
+		Report    *report  `json:"report,omitempty"`
+	}
+
+	// request tells of a request of an entry. Tokens is zero when it needs no
+	// reading any more.
+	request struct {
+		Number uint64 `json:"number"`
+		Tokens int    `json:"tokens,omitempty"`
+	}
+
+	// sender identifies a request among those of all entries.
+	sender struct {
+		entry  netip.AddrPort
+		number uint64
+	}
+
+	// unread is a prompt that the engine has not read yet, as far as the agent has
+	// heard. It is forgotten when its entry does not tell the end.
+	unread struct {
+		tokens int
+		until  time.Time
 	}
 
 	report struct {
@@ -42,6 +68,7 @@
 		Born     int64          `json:"born"`
 		Running  int            `json:"running"`
 		Queued   int            `json:"queued"`
+		Pending  int            `json:"pending,omitempty"`
 		Closed   bool           `json:"closed,omitempty"`
 		Versions map[string]int `json:"versions,omitempty"`
 	}
@@ -60,6 +87,7 @@
 		logger      *zap.Logger
 		mutex       sync.Mutex
 		subscribers map[netip.AddrPort]time.Time
+		unread      map[sender]unread
 		last        placements.Report
 		lastSent    time.Time
 	}
@@ -78,12 +106,23 @@
 		if got.Report != nil {
 			listener.take(placements.Report{
 				Server: got.Report.Server, Born: got.Report.Born, Running: got.Report.Running,
-				Queued: got.Report.Queued, Closed: got.Report.Closed, Versions: got.Report.Versions,
+				Queued: got.Report.Queued, Pending: got.Report.Pending, Closed: got.Report.Closed, Versions: got.Report.Versions,
 			})
 		}
 	})
 }
 
+// Sent tells an agent that a request with so many prompt tokens was sent to its
+// server.
+func (listener *Listener) Sent(agent netip.AddrPort, number uint64, tokens int) {
+	send(listener.conn, agent, message{Request: &request{Number: number, Tokens: tokens}}, listener.logger)
+}
+
+// Answered tells an agent that its server began to answer a request, or never will.
+func (listener *Listener) Answered(agent netip.AddrPort, number uint64) {
+	send(listener.conn, agent, message{Request: &request{Number: number}}, listener.logger)
+}
+
 func (listener *Listener) subscribe(ctx context.Context) {
 	known := map[netip.AddrPort]time.Time{}
 	for tick := time.NewTicker(subscribeInterval / 10); ; {
@@ -106,12 +145,15 @@
 
 // NewReporter returns a reporter without subscribers.
 func NewReporter(conn net.PacketConn, logger *zap.Logger) *Reporter {
-	return &Reporter{conn: conn, logger: logger, subscribers: map[netip.AddrPort]time.Time{}}
+	return &Reporter{conn: conn, logger: logger, subscribers: map[netip.AddrPort]time.Time{}, unread: map[sender]unread{}}
 }
 
 // Run takes subscriptions until the context ends.
 func (reporter *Reporter) Run(ctx context.Context) {
 	receive(ctx, reporter.conn, reporter.logger, func(got message, from netip.AddrPort) {
+		if got.Request != nil {
+			reporter.note(from, *got.Request)
+		}
 		if !got.Subscribe {
 			return
 		}
@@ -126,11 +168,40 @@
 	})
 }
 
+// note keeps the prompts that the engine has to read.
+func (reporter *Reporter) note(from netip.AddrPort, got request) {
+	reporter.mutex.Lock()
+	defer reporter.mutex.Unlock()
+	key := sender{entry: from, number: got.Number}
+	if got.Tokens <= 0 {
+		delete(reporter.unread, key)
+		return
+	}
+	if len(reporter.unread) < mostUnread {
+		reporter.unread[key] = unread{tokens: got.Tokens, until: time.Now().Add(unreadLifetime)}
+	}
+}
+
+// pending returns the prompt tokens that the engine has to read. The caller holds
+// the mutex.
+func (reporter *Reporter) pending(now time.Time) int {
+	sum := 0
+	for key, each := range reporter.unread {
+		if now.After(each.until) {
+			delete(reporter.unread, key)
+			continue
+		}
+		sum += each.tokens
+	}
+	return sum
+}
+
 // Report sends the report to all subscribers if it differs from the last one or
 // the last one is old.
 func (reporter *Reporter) Report(next placements.Report) {
 	now := time.Now()
 	reporter.mutex.Lock()
+	next.Pending = reporter.pending(now)
 	if equal(next, reporter.last) && now.Sub(reporter.lastSent) < refreshInterval {
 		reporter.mutex.Unlock()
 		return
@@ -150,13 +221,13 @@
 
 func equal(left, right placements.Report) bool {
 	return left.Server == right.Server && left.Born == right.Born && left.Running == right.Running &&
-		left.Queued == right.Queued && left.Closed == right.Closed && maps.Equal(left.Versions, right.Versions)
+		left.Queued == right.Queued && left.Pending == right.Pending && left.Closed == right.Closed && maps.Equal(left.Versions, right.Versions)
 }
 
 func (reporter *Reporter) sendTo(entries []netip.AddrPort, next placements.Report) {
 	wire := message{Report: &report{
 		Server: next.Server, Born: next.Born, Running: next.Running,
-		Queued: next.Queued, Closed: next.Closed, Versions: next.Versions,
+		Queued: next.Queued, Pending: next.Pending, Closed: next.Closed, Versions: next.Versions,
 	}}
 	for _, entry := range entries {
 		send(reporter.conn, entry, wire, reporter.logger)
--- a/lib/placements/fleet.go
+++ b/lib/placements/fleet.go
@@ -20,6 +20,12 @@
 	// slownessCost is what a reply time of twice the fleet's usual one counts in
 	// the choice, in requests.
 	slownessCost = 2.0
+	// slowReplies is how many times the usual reply time a server may take before
+	// it counts as slow.
+	slowReplies = 2
+	// changeTime is what a server that is about to change its version counts in the
+	// choice for a stream that was broken off by such a change.
+	changeTime = 200 * time.Millisecond
 	// unknownWait is the part of the target that a request may wait while no reply
 	// time is known.
 	unknownWait = 0.5
@@ -34,11 +40,17 @@
 
 type (
 	// Need is what a request asks of a server. LeastVersion is zero where any
-	// version will do. Tried names the servers that have had the request.
+	// version will do. Tried names the servers that have had the request. Tokens is
+	// the length of its prompt. FirstBy is when its first event is due; Late is set
+	// where that can't be kept any more. Resumed is set for a stream that has begun.
 	Need struct {
 		Service      string
 		Model        string
 		LeastVersion int
+		Tokens       int
+		FirstBy      time.Time
+		Late         bool
+		Resumed      bool
 		Tried        []string
 	}
 
@@ -46,6 +58,7 @@
 	// concurrent use.
 	Fleet struct {
 		dataCentre string
+		engines    map[string]Engine
 		standings  map[string]Standing
 		byService  map[string][]string
 		lapsing    map[string]time.Time
@@ -86,6 +99,9 @@
 	fleet.index()
 }
 
+// Engines takes the figures of the engines by service.
+func (fleet *Fleet) Engines(engines map[string]Engine) { fleet.engines = engines }
+
 // Expire drops the servers whose grace has passed.
 func (fleet *Fleet) Expire(now time.Time) {
 	for id, keepUntil := range fleet.lapsing {
@@ -112,10 +128,17 @@
 	}
 }
 
-// Start records that a request is sent to the server.
-func (fleet *Fleet) Start(id string) {
+// Start records that a request with so many prompt tokens is sent to the server.
+func (fleet *Fleet) Start(id string, tokens int) {
+	if standing, known := fleet.standings[id]; known {
+		fleet.standings[id] = standing.WithStart(tokens)
+	}
+}
+
+// Answer records that the server began to answer a request, or never will.
+func (fleet *Fleet) Answer(id string, tokens int) {
 	if standing, known := fleet.standings[id]; known {
-		fleet.standings[id] = standing.WithStart()
+		fleet.standings[id] = standing.WithAnswer(tokens)
 	}
 }
 
@@ -152,6 +175,8 @@
 // equals, so that entries that see the same reports do not all choose the same.
 func (fleet *Fleet) Choose(need Need, allowance int, now time.Time, chance func() float64) (Server, bool) {
 	usual := fleet.usualReply(need.Service)
+	engine, isEngine := fleet.engines[need.Service]
+	newest := fleet.newest(need, now)
 	var best Server
 	bestCost, found := 0.0, false
 	for _, id := range fleet.byService[need.Service] {
@@ -159,7 +184,19 @@
 		if !fleet.fits(standing, need, now) || standing.room(allowance, now) <= 0 {
 			continue
 		}
-		cost := fleet.cost(standing, usual, now) + chance()
+		var cost float64
+		if isEngine && need.Model != "" {
+			first, inTime := fleet.first(engine, standing, need, now)
+			if !inTime {
+				continue
+			}
+			if need.Resumed && isOlder(standing, need.Model, newest, now) {
+				first += changeTime
+			}
+			cost = (first + fleet.distance(standing) + excess(standing, usual)).Seconds() + chance()*closeCosts.Seconds()
+		} else {
+			cost = fleet.cost(standing, usual, now) + chance()
+		}
 		if !found || cost < bestCost {
 			best, bestCost, found = standing.Server.WithVersions(standing.versions(now)), cost, true
 		}
@@ -167,6 +204,47 @@
 	return best, found
 }
 
+// first predicts when an engine answers the request, and whether that is in time.
+// A request that is late already gets only an engine that hardly anything waits
+// at.
+func (fleet *Fleet) first(engine Engine, standing Standing, need Need, now time.Time) (time.Duration, bool) {
+	pending := standing.pending(now)
+	first := engine.First(pending, need.Tokens, standing.load(now)+1-standing.Server.Slots)
+	if need.Late {
+		return first, pending <= lateTokens
+	}
+	return first, need.FirstBy.IsZero() || pending == 0 || !now.Add(first).After(need.FirstBy)
+}
+
+// newest returns the newest version of the model that a server of the service
+// serves.
+func (fleet *Fleet) newest(need Need, now time.Time) int {
+	version := 0
+	for _, id := range fleet.byService[need.Service] {
+		version = max(version, fleet.standings[id].versions(now)[need.Model])
+	}
+	return version
+}
+
+// isOlder reports whether the server is about to change its version, which would
+// break a stream off a second time.
+func isOlder(standing Standing, model string, newest int, now time.Time) bool {
+	return standing.versions(now)[model] < newest
+}
+
+func (fleet *Fleet) distance(standing Standing) time.Duration {
+	if standing.Server.DataCentre != fleet.dataCentre {
+		return distanceTime
+	}
+	return 0
+}
+
+// excess is how much longer than usual a server takes of late, which the
+// published figures do not tell of a slow one.
+func excess(standing Standing, usual time.Duration) time.Duration {
+	return max(0, standing.replyTime-slowReplies*usual)
+}
+
 func (fleet *Fleet) fits(standing Standing, need Need, now time.Time) bool {
 	if standing.isClosed(now) {
 		return false
--- a/lib/placements/line.go
+++ b/lib/placements/line.go
@@ -25,8 +25,8 @@
 		Need     Need
 	}
 
-	// Line is the waiting line of one service: those that can still be on time
-	// before those that can't, which use what is left; then the highest rank, and
+	// Line is the waiting line of one service: streams that have begun, then
+	// those that can still be on time, then those that can't, which use what is left; then the highest rank, and
 	// within a rank whoever has to start first. It is immutable.
 	Line struct {
 		waiters []Waiter
@@ -75,6 +75,9 @@
 }
 
 func (waiter Waiter) before(other Waiter) bool {
+	if waiter.Need.Resumed != other.Need.Resumed {
+		return waiter.Need.Resumed
+	}
 	if waiter.Late != other.Late {
 		return other.Late
 	}
--- a/lib/placements/placements_test.go
+++ b/lib/placements/placements_test.go
@@ -36,7 +36,7 @@
 		for range 24 {
 			server, found := fleet.Choose(need, 0, at(10*time.Millisecond), never)
 			convey.So(found, convey.ShouldBeTrue)
-			fleet.Start(server.ID)
+			fleet.Start(server.ID, 0)
 			counts[server.ID]++
 		}
 		convey.So(counts["a"], convey.ShouldEqual, 16)
@@ -55,7 +55,7 @@
 		for range 4 {
 			server, found := fleet.Choose(need, 1, at(2*reportLifetime), never)
 			convey.So(found, convey.ShouldBeTrue)
-			fleet.Start(server.ID)
+			fleet.Start(server.ID, 0)
 		}
 		_, found := fleet.Choose(need, 1, at(2*reportLifetime), never)
 		convey.So(found, convey.ShouldBeFalse)
@@ -87,7 +87,7 @@
 	convey.Convey("Given a server that fails", t, func() {
 		fleet := fleetOf(engine("a", "nairobi", 1))
 		for range 3 {
-			fleet.Start("a")
+			fleet.Start("a", 0)
 			fleet.End("a", Broken, at(0))
 		}
 		convey.So(fleet.Usable(need, at(0)), convey.ShouldEqual, 0)
@@ -99,7 +99,7 @@
 	})
 	convey.Convey("Given a server that answers one request with an error", t, func() {
 		fleet := fleetOf(engine("a", "nairobi", 1))
-		fleet.Start("a")
+		fleet.Start("a", 0)
 		fleet.End("a", Broken, at(0))
 		convey.So(fleet.Usable(need, at(0)), convey.ShouldEqual, 1)
 	})
@@ -136,7 +136,7 @@
 		for range 3 {
 			server, _ := fleet.Choose(need, 0, at(0), never)
 			convey.So(server.ID, convey.ShouldNotEqual, "slow")
-			fleet.Start(server.ID)
+			fleet.Start(server.ID, 0)
 		}
 	})
 }
--- a/lib/placements/standing.go
+++ b/lib/placements/standing.go
@@ -36,12 +36,14 @@
 	}
 
 	// Report is what the agent beside a server says of it. A report of another
-	// start of the server than the one before begins anew.
+	// start of the server than the one before begins anew. Pending is the number of
+	// prompt tokens of requests that entries sent and that have not been answered.
 	Report struct {
 		Server   string
 		Born     int64
 		Running  int
 		Queued   int
+		Pending  int
 		Closed   bool
 		Versions map[string]int
 	}
@@ -54,9 +56,12 @@
 		reported time.Time
 		// Requests of this entry that began and ended since the report.
 		began, ended int
-		failures     int
-		closedUntil  time.Time
-		replyTime    time.Duration
+		// Prompt tokens of this entry's requests without an answer, and those sent
+		// and answered since the report.
+		ownPending, sent, answered int
+		failures                   int
+		closedUntil                time.Time
+		replyTime                  time.Duration
 	}
 
 	// Outcome is how a request at a server ended.
@@ -99,13 +104,26 @@
 	standing.reported = now
 	standing.began = 0
 	standing.ended = 0
+	standing.sent = 0
+	standing.answered = 0
 	return standing
 }
 
-// WithStart returns the standing after a request was sent to the server.
-func (standing Standing) WithStart() Standing {
+// WithStart returns the standing after a request with so many prompt tokens was
+// sent to the server.
+func (standing Standing) WithStart(tokens int) Standing {
 	standing.own++
 	standing.began++
+	standing.ownPending += tokens
+	standing.sent += tokens
+	return standing
+}
+
+// WithAnswer returns the standing after the server began to answer a request
+// with so many prompt tokens, or will not any more.
+func (standing Standing) WithAnswer(tokens int) Standing {
+	standing.ownPending -= tokens
+	standing.answered += tokens
 	return standing
 }
 
@@ -169,6 +187,14 @@
 	return max(standing.own, standing.report.Running+standing.report.Queued+standing.began-standing.ended)
 }
 
+// pending estimates the prompt tokens that the server still has to read.
+func (standing Standing) pending(now time.Time) int {
+	if !standing.isReported(now) {
+		return standing.ownPending
+	}
+	return max(standing.ownPending, standing.report.Pending+standing.sent-standing.answered)
+}
+
 // room returns how many more requests of this entry the server can take beside
 // its slots and the allowance.
 func (standing Standing) room(allowance int, now time.Time) int {
--- a/lib/stagings/fetch.go
+++ b/lib/stagings/fetch.go
@@ -302,19 +302,36 @@
 	node.lay(ctx, content, piece)
 }
 
-// lay puts a piece beside the engine, where it outlives this process. It waits
-// for its turn while an older version lies there that is about to be started.
+// lay puts a piece beside the engine, where it outlives this process. A piece of
+// another version than the one that is being started, or about to be, stays in
+// memory until its own version is started.
 func (node *Node) lay(ctx context.Context, content *content, piece int) {
 	status, _ := node.current()
 	if target, _ := node.startable(status); target.Version != 0 && target.Version != content.manifest.Version {
 		return
 	}
-	node.stage(ctx, content, piece)
+	node.stage.RLock()
+	defer node.stage.RUnlock()
+	if node.starting == 0 || node.starting == content.manifest.Version {
+		node.put(ctx, content, piece)
+	}
 }
 
-func (node *Node) stage(ctx context.Context, content *content, piece int) {
+func (node *Node) put(ctx context.Context, content *content, piece int) {
 	body, _ := content.get(piece)
 	if err := node.Engine.StagePiece(ctx, content.manifest.Model, piece, body); err != nil {
 		node.Logger.Warn("piece not staged", zap.Int("piece", piece), zap.Error(err))
 	}
 }
+
+// reserve keeps all pieces of other versions out of the engine's stage until the
+// returned function is called.
+func (node *Node) reserve(version int) (release func()) {
+	set := func(version int) {
+		node.stage.Lock()
+		defer node.stage.Unlock()
+		node.starting = version
+	}
+	set(version)
+	return func() { set(0) }
+}
--- a/lib/stagings/node.go
+++ b/lib/stagings/node.go
@@ -43,11 +43,13 @@
 	}
 
 	// Order tells an engine to start what lies beside it. Sequence is the number
-	// of orders that the engine must have taken before.
+	// of orders that the engine must have taken before. Cut breaks off what runs;
+	// without it the engine first finishes that.
 	Order struct {
 		Model    string
 		Version  int
 		Sequence int
+		Cut      bool
 	}
 
 	// Engine is the engine on this machine.
@@ -119,6 +121,11 @@
 		peers    *peers
 		download *rate.Limiter
 
+		// stage guards what lies beside the engine: starting is the version that is
+		// being started, during which no other may be laid there.
+		stage    sync.RWMutex
+		starting int
+
 		mutex     sync.Mutex
 		status    Status
 		observed  time.Time
--- a/lib/stagings/start.go
+++ b/lib/stagings/start.go
@@ -17,6 +17,13 @@
 	// turn bad at any time, and an engine must not take one that has been bad for
 	// more than three seconds.
 	checkLifetime = time.Second
+	// drainTime is how long an engine's requests may run on before it changes its
+	// version. The few long streams that are left then would keep most of its slots
+	// idle for seconds; they go on at other engines.
+	drainTime = 500 * time.Millisecond
+	// unansweredTime is how long an order without an answer may still be on its way
+	// to the engine on the same machine.
+	unansweredTime = time.Second
 	// orderTimeout bounds the wait for an engine to carry an order out; it first
 	// finishes what it runs.
 	orderTimeout = 8 * time.Second
@@ -58,26 +65,45 @@
 	if time.Now().Before(at) {
 		return false
 	}
+	release := node.reserve(target.Version)
+	defer release()
 	checked := time.Now()
 	if err := node.check(ctx, content); err != nil {
 		node.Logger.Warn("staged pieces not whole", zap.Int("version", target.Version), zap.Error(err))
 		return false
 	}
+	node.setClosed(true)
+	defer node.setClosed(false)
+	running := node.drain(ctx)
 	if time.Since(checked) > checkLifetime {
+		node.Logger.Info("check of the staged pieces too old", zap.Int("version", target.Version), zap.Duration("age", time.Since(checked)))
 		return false
 	}
-	node.setClosed(true)
-	defer node.setClosed(false)
-	err := node.Engine.Start(ctx, Order{Model: target.Model, Version: target.Version, Sequence: status.Sequence})
+	err := node.Engine.Start(ctx, Order{Model: target.Model, Version: target.Version, Sequence: status.Sequence, Cut: running > 0})
 	node.Logger.Info("order sent", zap.String("model", target.Model), zap.Int("version", target.Version),
-		zap.Int("sequence", status.Sequence), zap.Int64("born", status.Born), zap.Duration("after_naming", sinceNamed(target)), zap.Error(err))
+		zap.Int("sequence", status.Sequence), zap.Int64("born", status.Born), zap.Int("running", running), zap.Duration("after_naming", sinceNamed(target)), zap.Error(err))
 	if err != nil {
+		// The engine may still take an order whose answer did not come.
+		sleep(ctx, unansweredTime)
 		return false
 	}
+	release()
 	node.await(ctx, target, status.Born)
 	return true
 }
 
+// drain gives the requests that run at the engine a moment to end and returns how
+// many are left. Entries send it nothing meanwhile.
+func (node *Node) drain(ctx context.Context) int {
+	for until := time.Now().Add(drainTime); ; sleep(ctx, observePause/2) {
+		status, _ := node.current()
+		running := status.Running + status.Queued
+		if running == 0 || time.Now().After(until) || ctx.Err() != nil {
+			return running
+		}
+	}
+}
+
 func sinceNamed(target Target) time.Duration {
 	if target.Named.IsZero() {
 		return 0
@@ -140,7 +166,7 @@
 	if body, err := node.Engine.ReadPiece(ctx, model, piece); err == nil && content.manifest.Verify(piece, body) {
 		return true
 	}
-	node.stage(ctx, content, piece)
+	node.put(ctx, content, piece)
 	body, err := node.Engine.ReadPiece(ctx, model, piece)
 	return err == nil && content.manifest.Verify(piece, body)
 }
