--- a/cmd/agent/routed/routed.go
+++ b/cmd/agent/routed/routed.go
@@ -32,9 +32,11 @@
 const (
 	// storeWait is how long polls of the store wait.
 	storeWait = 10 * time.Second
-	// serverSettle joins changes of servers that come together. Agents need the
-	// list only to find each other.
-	serverSettle = 300 * time.Millisecond
+	// operatorSettle and serverSettle join changes that come together. An agent needs
+	// the versions, which come seldom, and the list to find the others; each change
+	// of the configuration sends the whole of it to every agent.
+	operatorSettle = time.Second
+	serverSettle   = 300 * time.Millisecond
 	// firstVersion is served where the operator has named none.
 	firstVersion = 1
 )
@@ -110,7 +112,10 @@
 	group.Go(func() error { return stagings.NewServer(agent.node, upload).Serve(alive, pieces) })
 	group.Go(func() error { return agent.probe(alive) })
 	group.Go(func() error { agent.reporter.Run(alive); return nil })
-	group.Go(func() error { agent.follow(alive, adapter.OperatorTable, 0, agent.takeOperator); return nil })
+	group.Go(func() error {
+		agent.follow(alive, adapter.OperatorTable, operatorSettle, agent.takeOperator)
+		return nil
+	})
 	group.Go(func() error { agent.follow(alive, adapter.ServerTable, serverSettle, agent.takeServers); return nil })
 	group.Go(func() error { agent.node.Run(alive); return nil })
 	agent.logger.Info("started", zap.String("engine", agent.settings.BackendServer), zap.String("data_centre", agent.settings.DataCentre))
--- a/cmd/entry/routed/routed.go
+++ b/cmd/entry/routed/routed.go
@@ -33,8 +33,11 @@
 	// keep-alive long before.
 	operatorWait = 5 * time.Second
 	serverWait   = 5 * time.Second
-	// serverSettle joins changes of servers that come together.
-	serverSettle = 50 * time.Millisecond
+	// operatorSettle and serverSettle join changes that come together. Each change
+	// of the configuration sends the whole of it to every process, and a storm of
+	// them would fill the links between regions.
+	operatorSettle = 150 * time.Millisecond
+	serverSettle   = 50 * time.Millisecond
 	// versionMargin is how long before its due time a version is insisted on: a
 	// request may take that long over a link that pieces of weights fill, and wait
 	// at the engine.
@@ -114,7 +117,7 @@
 	group.Go(func() error { return entry.gateway.Serve(callers) })
 	group.Go(func() error { return entry.probe(alive, entry.settings.Admin) })
 	group.Go(func() error { return entry.probe(alive, entry.settings.MetricsAddress()) })
-	go entry.follow(alive, adapter.OperatorTable, operatorWait, 0, entry.takeOperator)
+	go entry.follow(alive, adapter.OperatorTable, operatorWait, operatorSettle, entry.takeOperator)
 	go entry.follow(alive, adapter.ServerTable, serverWait, serverSettle, entry.takeServers)
 	go entry.expire(alive)
 	go entry.loads.Run(alive)
