--- a/lib/stagings/hand.go
+++ b/lib/stagings/hand.go
@@ -17,7 +17,7 @@
 const (
 	// handWorkers is how many pieces are handed on at a time; the rate limit keeps
 	// them apart, and one receiver that does not answer holds up only one of them.
-	handWorkers = 8
+	handWorkers = 4
 	// handQueue bounds the pieces that wait to be handed on: several versions.
 	handQueue = 4096
 	// handTries is how often a receiver is tried that does not know the version yet.
--- a/lib/stagings/start.go
+++ b/lib/stagings/start.go
@@ -20,7 +20,7 @@
 	// drainTime is how long an engine's requests may run on before it changes its
 	// version. The few long streams that are left then would keep most of its slots
 	// idle for seconds; they go on at other engines.
-	drainTime = 500 * time.Millisecond
+	drainTime = 400 * time.Millisecond
 	// unansweredTime is how long an order without an answer may still be on its way
 	// to the engine on the same machine.
 	unansweredTime = time.Second
