Keep the retries of all entries within the fleet's budget

Cause: each entry could save up 100 retries for each service; five entries that spent them at once after a quiet minute would send 650 requests once more in 10 s where 404 are allowed.

--- a/lib/gateways/desk.go
+++ b/lib/gateways/desk.go
@@ -7,7 +7,6 @@
 	"sync"
 	"time"
 
-	"firford/lib/backends"
 	"firford/lib/placements"
 )
 
@@ -31,7 +30,7 @@
 		fleet   *placements.Fleet
 		lines   map[string]placements.Line
 		paces   map[string]placements.Pace
-		budgets map[string]backends.RetryBudget
+		retries map[string]placements.Retries
 		granted map[uint64]chan *place
 		number  uint64
 		notify  func(Notice)
@@ -74,7 +73,7 @@
 		fleet:   fleet,
 		lines:   map[string]placements.Line{},
 		paces:   map[string]placements.Pace{},
-		budgets: map[string]backends.RetryBudget{},
+		retries: map[string]placements.Retries{},
 		granted: map[uint64]chan *place{},
 	}
 }
@@ -251,18 +250,14 @@
 func (desk *Desk) arrive(service string) {
 	desk.mutex.Lock()
 	defer desk.mutex.Unlock()
-	budget, known := desk.budgets[service]
-	if !known {
-		budget = backends.NewRetryBudget()
-	}
-	desk.budgets[service] = budget.WithRequest()
+	desk.retries[service] = desk.retries[service].WithRequest(time.Now())
 }
 
 // mayRepeat takes one retry from the budget of the service.
 func (desk *Desk) mayRepeat(service string) bool {
 	desk.mutex.Lock()
 	defer desk.mutex.Unlock()
-	budget, allowed := desk.budgets[service].WithRetry()
-	desk.budgets[service] = budget
+	retries, allowed := desk.retries[service].WithRetry(time.Now())
+	desk.retries[service] = retries
 	return allowed
 }
