--- a/lib/gateways/answers.go
+++ b/lib/gateways/answers.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -46,7 +47,7 @@
 		header.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
 	}
 	request.log("request ended", zap.Int("status", status), zap.String("reason", reason), zap.Duration("retry_after", retryAfter))
-	request.gateway.count(status)
+	request.gateway.counters.ended(status, reasonLabel(reason))
 	request.writer.WriteHeader(status)
 	_, _ = request.writer.Write([]byte(reason + "\n")) // A caller that has left needs no answer.
 }
@@ -68,6 +69,8 @@
 	request.gateway.Logger.Info(event, fields...)
 }
 
-func (gateway *Gateway) count(status int) {
-	gateway.Scope.Tagged(map[string]string{"status": strconv.Itoa(status)}).Counter("requests").Inc(1)
+// reasonLabel cuts a reason down to the part that comes from a fixed set.
+func reasonLabel(reason string) string {
+	label, _, _ := strings.Cut(reason, ":")
+	return label
 }
--- a/lib/gateways/attempts.go
+++ b/lib/gateways/attempts.go
@@ -29,6 +29,11 @@
 	// answerShare is the part of the time left that one server has for a whole
 	// answer, where another may be asked after it.
 	answerShare = 0.6
+	// Callers give a stream up when nothing has come for the longest of a time, of
+	// so many targets and of so many pauses, as the platform says of them.
+	abandonTime    = 2 * time.Second
+	abandonTargets = 4
+	abandonPauses  = 8
 	// mostConnects bounds the servers that one request tries to connect to.
 	mostConnects = 4
 	// refusedRetryAfter is when to come back after a server turned a request away.
@@ -69,6 +74,8 @@
 func (failed) isResult()    {}
 func (left) isResult()      {}
 
+var errAbandoned = errors.New("the caller has given the stream up")
+
 func (request *request) target() time.Duration {
 	if request.match.Route.Target > 0 {
 		return request.match.Route.Target
@@ -118,9 +125,11 @@
 		}
 		server := taken.server
 		request.placed = time.Now()
+		request.gateway.counters.wait.RecordDuration(request.placed.Sub(request.arrived))
 		request.tried = append(request.tried, server.ID)
 		outcome := request.try(ctx, taken)
 		request.gateway.Desk.end(taken, placeOutcome(outcome))
+		request.gateway.counters.attempt(outcome)
 		switch outcome := outcome.(type) {
 		case delivered:
 			return
@@ -191,12 +200,23 @@
 
 // mayGoOn reports whether one more server may get the request.
 func (request *request) mayGoOn(ctx context.Context) bool {
-	if request.sent >= max(1, request.match.Route.Attempts) || ctx.Err() != nil {
+	if request.sent >= max(1, request.match.Route.Attempts) || ctx.Err() != nil || request.isAbandoned(time.Now()) {
 		return false
 	}
 	return request.gateway.Desk.mayRepeat(request.service)
 }
 
+// isAbandoned reports whether the caller has given the stream up by now, since
+// nothing has come for so long. A caller behind a partition can't tell that it has
+// left, and its request must not run once more when the partition ends.
+func (request *request) isAbandoned(now time.Time) bool {
+	if request.match.Route.Repeat != routes.Stream {
+		return false
+	}
+	quiet := max(abandonTime, abandonTargets*request.target(), abandonPauses*request.match.Route.EventGap)
+	return now.After(request.heard.Add(quiet))
+}
+
 func placeOutcome(outcome result) placements.Outcome {
 	switch outcome := outcome.(type) {
 	case notSent:
@@ -237,6 +257,9 @@
 		return left{}
 	}
 	began := time.Now()
+	if request.isAbandoned(began) {
+		return notSent{err: errAbandoned}
+	}
 	if err := conn.send(request.bytes(server, began)); err != nil {
 		return request.lost(ctx, err)
 	}
@@ -249,6 +272,7 @@
 		return notRun{misdirected: reply.Misdirected}
 	}
 	request.first = time.Now()
+	gateway.counters.first.RecordDuration(request.first.Sub(request.arrived))
 	gateway.Desk.reply(taken, request.first.Sub(began))
 	outcome := request.pass(conn, response, reply)
 	if stop() && reusable(outcome, response) {
@@ -364,7 +388,7 @@
 	if _, typed := header["Content-Type"]; !typed {
 		header["Content-Type"] = nil
 	}
-	request.gateway.count(answer.status)
+	request.gateway.counters.ended(answer.status, "")
 	request.log("request ended", zap.Int("status", answer.status))
 	request.writer.WriteHeader(answer.status)
 	_, _ = request.writer.Write(answer.body) // A caller that has left needs no answer.
@@ -392,7 +416,8 @@
 		if id != "" {
 			request.lastEvent = id
 		}
-		_ = conn.SetReadDeadline(earlier(time.Now().Add(request.eventGap()), request.deadline.Add(answerMargin)))
+		request.heard = time.Now()
+		_ = conn.SetReadDeadline(earlier(request.heard.Add(request.eventGap()), request.deadline.Add(answerMargin)))
 	}
 }
 
@@ -414,7 +439,7 @@
 
 func (request *request) finishStream(response *http.Response) result {
 	request.beginStream(response)
-	request.gateway.count(response.StatusCode)
+	request.gateway.counters.ended(response.StatusCode, "")
 	request.log("request ended", zap.Int("status", response.StatusCode), zap.String("last_event", request.lastEvent))
 	return delivered{}
 }
--- a/lib/gateways/desk.go
+++ b/lib/gateways/desk.go
@@ -104,9 +104,9 @@
 	return desk.fleet.Patience(service, target)
 }
 
-// take returns a place at a server with room for the request, waiting for one until the
-// waiter has to start. The error is a *refusal unless the context ended first.
-// Each placed request has to be given back with end.
+// take returns a place at a server with room for the request, waiting for one
+// until the waiter has to start. The error is a *refusal unless the context ended
+// first. Each place has to be given back with end.
 func (desk *Desk) take(ctx context.Context, waiter placements.Waiter) (*place, error) {
 	taken, grant, number, err := desk.ask(waiter)
 	if err != nil || taken != nil {
--- a/lib/gateways/gateway.go
+++ b/lib/gateways/gateway.go
@@ -52,11 +52,12 @@
 	// Gateway answers callers.
 	Gateway struct {
 		Dependencies
-		pool    *pool
-		budgets *budgets
-		leaving atomic.Bool
-		running atomic.Int64
-		server  *http.Server
+		pool     *pool
+		budgets  *budgets
+		counters counters
+		leaving  atomic.Bool
+		running  atomic.Int64
+		server   *http.Server
 	}
 )
 
@@ -76,7 +77,7 @@
 
 // New returns a gateway.
 func New(given Dependencies) *Gateway {
-	gateway := &Gateway{Dependencies: given, pool: newPool(), budgets: newBudgets()}
+	gateway := &Gateway{Dependencies: given, pool: newPool(), budgets: newBudgets(), counters: newCounters(given.Scope)}
 	gateway.server = &http.Server{
 		Handler:           gateway,
 		ReadHeaderTimeout: headerTimeout,
@@ -113,8 +114,8 @@
 
 // ServeHTTP implements http.Handler.
 func (gateway *Gateway) ServeHTTP(writer http.ResponseWriter, received *http.Request) {
-	gateway.running.Add(1)
-	defer gateway.running.Add(-1)
+	gateway.counters.running.Update(float64(gateway.running.Add(1)))
+	defer func() { gateway.counters.running.Update(float64(gateway.running.Add(-1))) }()
 	if gateway.leaving.Load() {
 		writer.Header().Set("Connection", "close")
 	}
@@ -125,6 +126,7 @@
 		received: received,
 		call:     gateway.Dialect.Call(received.Header, now),
 		arrived:  now,
+		heard:    now,
 	}
 	request.serve()
 }
@@ -143,6 +145,8 @@
 	// asked is when the caller first asked, as far as its time left tells: a caller
 	// that comes back after a refusal has less of it.
 	asked time.Time
+	// heard is when the caller last got an event, its arrival before the first one.
+	heard time.Time
 	// tried names the servers that got the request; sent counts them.
 	tried []string
 	sent  int
--- a/lib/gateways/gateways_test.go
+++ b/lib/gateways/gateways_test.go
@@ -267,3 +267,21 @@
 		convey.So(conn.isQuiet(), convey.ShouldBeFalse)
 	})
 }
+
+// Guards against streams that run once more after a partition for callers that
+// gave up during it and could not say so.
+func TestAbandonedStreamsAreNotSentOnceMore(t *testing.T) {
+	convey.Convey("Given streams that have been quiet for some time", t, func() {
+		front := newFront(t, 1)
+		now := time.Now()
+		quiet := func(name string, span time.Duration) *request {
+			match, err := front.gateway.Table().Match("desk.example", "/"+name+"/", "key")
+			convey.So(err, convey.ShouldBeNil)
+			return &request{gateway: front.gateway, match: match, service: "desk", sent: 1, heard: now.Add(-span), arrived: now.Add(-span)}
+		}
+		ctx := context.Background()
+		convey.So(quiet("events", abandonTime-100*time.Millisecond).mayGoOn(ctx), convey.ShouldBeTrue)
+		convey.So(quiet("events", abandonTime+time.Millisecond).mayGoOn(ctx), convey.ShouldBeFalse)
+		convey.So(quiet("again", abandonTime+time.Millisecond).mayGoOn(ctx), convey.ShouldBeTrue)
+	})
+}
