Remove what the reading found written twice or unused

The watch logged the return of the store in two places; succeed now publishes the view. Behaviour stays.

Seen and left: entry and agent both log unread rows of the list and work out an agent's address from a server's; their mains differ in three names.

--- a/lib/gateways/desk.go
+++ b/lib/gateways/desk.go
@@ -89,13 +89,6 @@
 	}
 }
 
-// Len returns how many servers are known.
-func (desk *Desk) Len() int {
-	desk.mutex.Lock()
-	defer desk.mutex.Unlock()
-	return desk.fleet.Len()
-}
-
 // patience returns how long a request may wait for a place and still meet its
 // target.
 func (desk *Desk) patience(service string, target time.Duration) time.Duration {
--- a/lib/gateways/dialect.go
+++ b/lib/gateways/dialect.go
@@ -30,14 +30,12 @@
 	}
 
 	// Sent is what a backend server is told beside the caller's own headers.
-	// LastEvent replaces the caller's where it is set. LeastVersion is zero where
-	// the server may answer with any version.
+	// LastEvent replaces the caller's where it is set.
 	Sent struct {
 		Server       string
 		Organisation string
 		LastEvent    string
 		Deadline     time.Time
-		Version      int
 	}
 
 	// Reply is what the headers of a server's answer say. NotRun means that the
--- a/lib/platform/watch.go
+++ b/lib/platform/watch.go
@@ -124,13 +124,9 @@
 
 func (watch *watching) succeed() {
 	watch.pauses.Reset()
-	if !watch.failing {
-		return
+	if watch.failing {
+		watch.publish(watch.view)
 	}
-	watch.failing = false
-	watch.view.Resumed = time.Now()
-	watch.Logger.Info("store regained", zap.String("table", watch.Table), zap.Int64("revision", watch.view.Revision))
-	watch.Update(watch.view)
 }
 
 func (watch *watching) read(ctx context.Context) error {
