Explain a request from the logs: firford explain

The command joins the lines of one request with the events of its entry and of the engines that it was sent to, prints the timeline and the causes as text or JSON, and counts lines that it could not read. A test wants an explanation for each reason in the gateway's golden file.

--- a/cmd/firford/commands/commands.go
+++ b/cmd/firford/commands/commands.go
@@ -64,6 +64,7 @@
 		Engines *enginesCommand `arg:"subcommand:engines" help:"list which version each engine serves"`
 		Status  *statusCommand  `arg:"subcommand:status" help:"show where a revision is in force"`
 		Burn    *burnCommand    `arg:"subcommand:burn" help:"show how fast error budgets are used up"`
+		Explain *explainCommand `arg:"subcommand:explain" help:"explain a request from the logs of entries and agents"`
 		Check   *checkCommand   `arg:"subcommand:check" help:"check a settings file of an entry or agent"`
 	}
 
--- /dev/null
+++ b/cmd/firford/commands/explain.go
@@ -0,0 +1,60 @@
+package commands
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+
+	"firford/lib/timelines"
+)
+
+// standardInput is the name under which a log is read from standard input.
+const standardInput = "-"
+
+type explainCommand struct {
+	RequestID string   `arg:"positional,required" help:"the request's id, as its entry logged it"`
+	Logs      []string `arg:"positional,required" help:"logs of entries and agents; - for standard input"`
+}
+
+func (*explainCommand) example() string {
+	return "firford explain 9c41d07be2a35f68 logs/*.log\n      prints what happened to the request, and why it ended as it did"
+}
+
+func (command *explainCommand) run(_ context.Context, session *session) error {
+	log := timelines.NewLog(command.RequestID)
+	for _, name := range command.Logs {
+		if err := addLog(log, name); err != nil {
+			return &codedError{code: ExitInvalid, message: err.Error()}
+		}
+	}
+	explanation, found := log.Explain()
+	if session.arguments.JSON {
+		encoded, err := json.MarshalIndent(explanation, "", "  ")
+		if err != nil {
+			return fmt.Errorf("encode explanation: %w", err)
+		}
+		_, _ = fmt.Fprintf(session.out, "%s\n", encoded)
+	} else {
+		explanation.Print(session.out)
+	}
+	for _, finding := range explanation.Findings {
+		_, _ = fmt.Fprintf(session.errors, "%s: not read: %s\n", finding.Place, finding.Problem)
+	}
+	if !found {
+		return &codedError{code: ExitInvalid, message: fmt.Sprintf("no line of request %s in %d lines", command.RequestID, explanation.LinesRead)}
+	}
+	return nil
+}
+
+func addLog(log *timelines.Log, name string) error {
+	if name == standardInput {
+		return log.Add(os.Stdin, "standard input")
+	}
+	file, err := os.Open(name)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = file.Close() }()
+	return log.Add(file, name)
+}
--- /dev/null
+++ b/lib/timelines/timelines_test.go
@@ -0,0 +1,87 @@
+package timelines
+
+import (
+	"bytes"
+	"encoding/json"
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/sebdah/goldie/v2"
+	"github.com/smartystreets/goconvey/convey"
+)
+
+func read(t *testing.T, id string) *Log {
+	t.Helper()
+	log := NewLog(id)
+	for _, name := range []string{"entry.log", "agent.log"} {
+		file, err := os.Open("testdata/" + name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := log.Add(file, name); err != nil {
+			t.Fatal(err)
+		}
+		_ = file.Close()
+	}
+	return log
+}
+
+// Guards against a timeline that leaves out what explains a failure, such as the
+// order of an agent that cut a stream, and against a cause that changes unnoticed.
+func TestExplanations(t *testing.T) {
+	convey.Convey("Given logs of an entry and two agents", t, func() {
+		var out bytes.Buffer
+		for _, id := range []string{"stream-1", "refused-1", "once-1", "unfinished-1", "early-1", "left-1", "moved-1"} {
+			explanation, found := read(t, id).Explain()
+			convey.So(found, convey.ShouldBeTrue)
+			explanation.Print(&out)
+		}
+		goldie.New(t, goldie.WithFixtureDir("testdata")).Assert(t, "explanations", out.Bytes())
+	})
+}
+
+// Guards against a torn line that ends the reading, or that nobody hears of.
+func TestUnreadableLinesAreCounted(t *testing.T) {
+	convey.Convey("Given a log with a torn line and one without a full time", t, func() {
+		explanation, found := read(t, "refused-2").Explain()
+		convey.So(found, convey.ShouldBeFalse)
+		convey.So(explanation.Unreadable, convey.ShouldEqual, 2)
+		convey.So(explanation.Findings[0].Place, convey.ShouldEqual, "entry.log:6")
+		encoded, err := json.Marshal(explanation)
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(string(encoded), convey.ShouldContainSubstring, `"lines_unreadable":2`)
+	})
+	convey.Convey("Given more unreadable lines than are kept, and one that is too long", t, func() {
+		log := NewLog("any")
+		convey.So(log.Add(strings.NewReader(strings.Repeat("torn\n", 50)+strings.Repeat("x", 1<<20)+"\n"), "log"), convey.ShouldBeNil)
+		convey.So(log.UnreadableCount(), convey.ShouldEqual, 51)
+		convey.So(len(log.Unreadable), convey.ShouldEqual, mostFindings)
+	})
+}
+
+// Guards against a reason of the gateway that has no explanation here.
+func TestEveryReasonOfTheGatewayIsExplained(t *testing.T) {
+	convey.Convey("Given the gateway's golden file of its reasons", t, func() {
+		golden, err := os.ReadFile("../gateways/testdata/reasons.golden")
+		convey.So(err, convey.ShouldBeNil)
+		found := regexp.MustCompile(`reason="([^"]+)"`).FindAllSubmatch(golden, -1)
+		convey.So(len(found), convey.ShouldEqual, len(endings))
+		for _, each := range found {
+			convey.So(endings, convey.ShouldContainKey, string(each[1]))
+		}
+	})
+}
+
+// Guards against bytes in a log that end the program.
+func FuzzLog(f *testing.F) {
+	f.Add([]byte("time=2026-12-03T10:00:00Z event=\"request ended\" request_id=a after=x status=\n"))
+	f.Add([]byte("time=\"\\u00\x00 request_id=a\n"))
+	f.Fuzz(func(_ *testing.T, text []byte) {
+		log := NewLog("a")
+		_ = log.Add(bytes.NewReader(text), "log")
+		explanation, _ := log.Explain()
+		explanation.Print(&bytes.Buffer{})
+	})
+}
