Let agents look at the list of servers seldom

An agent looks soon only until its engine is listed under its new id, then each 4 s; entries join changes over 500 ms.

Log lines of a request take its status by parameter.

--- a/cmd/agent/routed/routed.go
+++ b/cmd/agent/routed/routed.go
@@ -34,9 +34,13 @@
 	// storeWait is how long polls of the store wait, and how often the named versions
 	// are read where no entry tells them sooner.
 	storeWait = 4 * time.Second
-	// serverSettle joins changes of the list, which an agent needs to find the others
-	// and which changes with each engine that takes a version.
-	serverSettle = 1200 * time.Millisecond
+	// newSettle and serverSettle join changes of the list, which changes with each
+	// engine that takes a version. After a start of its engine, for registerTime at
+	// most, an agent has to learn soon under which id the platform lists it; later it
+	// needs the list only to find the others, whom it asks before it plans.
+	newSettle    = 300 * time.Millisecond
+	serverSettle = 4 * time.Second
+	registerTime = 12 * time.Second
 	// figuresPatience and figuresSpread bound how long an agent waits for an entry to
 	// tell it the figures of the engines: entries that start at the same time have
 	// to read the configuration first.
@@ -46,20 +50,32 @@
 	firstVersion = 1
 )
 
-// agent holds the parts of one process.
-type agent struct {
-	settings processes.RoutedAgent
-	logger   *zap.Logger
-	metrics  *metrics.Metrics
-	buffer   *logs.Buffer
-	store    *adapter.Store
-	self     hosts.Host
-	node     *stagings.Node
-	reporter *loads.Reporter
-	wishes   *directives.Follower
-	operator *directives.Sparse
-	servers  atomic.Pointer[[]placements.Server]
-}
+type (
+	// agent holds the parts of one process.
+	agent struct {
+		settings processes.RoutedAgent
+		logger   *zap.Logger
+		metrics  *metrics.Metrics
+		buffer   *logs.Buffer
+		store    *adapter.Store
+		self     hosts.Host
+		node     *stagings.Node
+		reporter *loads.Reporter
+		wishes   *directives.Follower
+		operator *directives.Sparse
+		servers  atomic.Pointer[[]placements.Server]
+		// started is the last start of the engine.
+		started atomic.Pointer[start]
+	}
+
+	// start is a start of the engine: when it was, as the engine says, when it was
+	// heard of, and under which id the platform listed the engine then.
+	start struct {
+		born   int64
+		heard  time.Time
+		former string
+	}
+)
 
 // Run runs an agent until the context ends.
 func Run(ctx context.Context, settings processes.RoutedAgent) error {
@@ -151,11 +167,22 @@
 
 func (agent *agent) followServers(ctx context.Context) {
 	platform.Watch{
-		Feed: agent.store, Table: adapter.ServerTable, Wait: storeWait, Settle: serverSettle,
+		Feed: agent.store, Table: adapter.ServerTable, Wait: storeWait, Settle: agent.settle,
 		Logger: agent.logger, Scope: agent.metrics.Scope, Update: agent.takeServers,
 	}.Run(ctx)
 }
 
+// settle returns the least pause between two looks at the list of servers.
+func (agent *agent) settle() time.Duration {
+	started := agent.started.Load()
+	server, isListed := agent.listed()
+	isFormer := started != nil && server.ID == started.former && time.Since(started.heard) < registerTime
+	if !isListed || isFormer {
+		return newSettle
+	}
+	return serverSettle
+}
+
 func (agent *agent) takeServers(view platform.View) {
 	servers, problems := adapter.Servers(view.Rows)
 	for _, problem := range problems {
@@ -240,12 +267,18 @@
 
 // serving returns the version that the list says this agent's engine serves.
 func (agent *agent) serving(model string) int {
+	server, _ := agent.listed()
+	return server.Versions[model]
+}
+
+// listed returns this agent's engine as the platform lists it.
+func (agent *agent) listed() (placements.Server, bool) {
 	for _, server := range *agent.servers.Load() {
 		if server.Address == agent.settings.BackendServer {
-			return server.Versions[model]
+			return server, true
 		}
 	}
-	return 0
+	return placements.Server{}, false
 }
 
 // host names a server's agent by the server's address, which its agent knows
@@ -263,13 +296,15 @@
 
 // report passes a look at the engine on to the entries.
 func (agent *agent) report(status stagings.Status, closed bool) {
-	for _, server := range *agent.servers.Load() {
-		if server.Address != agent.settings.BackendServer {
-			continue
-		}
-		agent.reporter.Report(placements.Report{
-			Server: server.ID, Born: status.Born, Running: status.Running, Queued: status.Queued,
-			Closed: closed, Versions: status.Versions,
-		})
+	server, isListed := agent.listed()
+	if last := agent.started.Load(); last == nil || last.born != status.Born {
+		agent.started.Store(&start{born: status.Born, heard: time.Now(), former: server.ID})
 	}
+	if !isListed {
+		return
+	}
+	agent.reporter.Report(placements.Report{
+		Server: server.ID, Born: status.Born, Running: status.Running, Queued: status.Queued,
+		Closed: closed, Versions: status.Versions,
+	})
 }
--- a/cmd/entry/routed/routed.go
+++ b/cmd/entry/routed/routed.go
@@ -36,10 +36,10 @@
 	operatorWait = 2 * time.Second
 	serverWait   = 2 * time.Second
 	// operatorSettle and serverSettle join changes that come together. Each change
-	// of the configuration sends the whole of it to every process, and a storm of
+	// of the configuration sends the whole of it to every entry, and a storm of
 	// them would fill the links between regions.
 	operatorSettle = 150 * time.Millisecond
-	serverSettle   = 150 * time.Millisecond
+	serverSettle   = 500 * time.Millisecond
 	// versionMargin is how long before its due time a version is insisted on: a
 	// request may take that long over a link that pieces of weights fill, and wait
 	// at the engine.
@@ -177,7 +177,7 @@
 
 func (entry *entry) followServers(ctx context.Context) {
 	platform.Watch{
-		Feed: entry.store, Table: adapter.ServerTable, Wait: serverWait, Settle: serverSettle,
+		Feed: entry.store, Table: adapter.ServerTable, Wait: serverWait, Settle: platform.Fixed(serverSettle),
 		Logger: entry.logger, Scope: entry.metrics.Scope, Update: entry.takeServers,
 	}.Run(ctx)
 }
--- a/lib/directives/directives.go
+++ b/lib/directives/directives.go
@@ -80,7 +80,7 @@
 // Run follows the operator's table until the context ends.
 func (follower *Follower) Run(ctx context.Context) {
 	platform.Watch{
-		Feed: follower.Feed, Table: follower.Table, Wait: follower.Wait, Settle: follower.Settle,
+		Feed: follower.Feed, Table: follower.Table, Wait: follower.Wait, Settle: platform.Fixed(follower.Settle),
 		Logger: follower.Logger, Scope: follower.Scope, Update: func(view platform.View) { follower.take(view, time.Now()) },
 	}.Run(ctx)
 }
--- a/lib/gateways/answers.go
+++ b/lib/gateways/answers.go
@@ -29,7 +29,7 @@
 // fail answers a request whose outcome is unknown, or that ran without success.
 func (request *request) fail(reason reason) {
 	if request.streaming {
-		request.end(reason)
+		request.end(0, reason)
 		panic(http.ErrAbortHandler)
 	}
 	status := http.StatusBadGateway
@@ -45,7 +45,7 @@
 	if retryAfter > 0 {
 		header.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
 	}
-	request.end(reason, zap.Int("status", status), zap.Duration("retry_after", retryAfter))
+	request.end(status, reason, zap.Duration("retry_after", retryAfter))
 	request.writer.WriteHeader(status)
 	_, _ = request.writer.Write([]byte(reason + "\n")) // A caller that has left needs no answer.
 }
--- a/lib/gateways/attempts.go
+++ b/lib/gateways/attempts.go
@@ -128,7 +128,7 @@
 
 // leave ends a request whose caller has gone.
 func (request *request) leave() {
-	request.end(reasonLeft)
+	request.end(0, reasonLeft)
 	panic(http.ErrAbortHandler)
 }
 
--- a/lib/gateways/gateway.go
+++ b/lib/gateways/gateway.go
@@ -220,7 +220,7 @@
 			request.answer(http.StatusRequestEntityTooLarge, reasonTooLarge, 0)
 			return false
 		}
-		request.end(reasonUnread, zap.Error(err))
+		request.end(0, reasonUnread, zap.Error(err))
 		panic(http.ErrAbortHandler)
 	}
 	_ = control.SetReadDeadline(time.Time{})
--- a/lib/gateways/records.go
+++ b/lib/gateways/records.go
@@ -46,26 +46,20 @@
 	return status < http.StatusBadRequest && len(request.tried) == 1 && inTime
 }
 
-// end writes down that the request ended without a server's answer.
-func (request *request) end(reason reason, fields ...zap.Field) {
-	status := statusOf(fields)
+// end writes down that the request ended without a server's answer. The status is
+// zero where the caller's connection ended without one.
+func (request *request) end(status int, reason reason, fields ...zap.Field) {
 	request.gateway.counters.ended(status, reason)
 	fields = append(fields, zap.String("reason", string(reason)))
+	if status > 0 {
+		fields = append(fields, zap.Int("status", status))
+	}
 	if request.refusal != nil {
 		fields = append(fields, request.refusal.fields()...)
 	}
 	request.log(eventEnded, fields...)
 }
 
-func statusOf(fields []zap.Field) int {
-	for _, field := range fields {
-		if field.Key == "status" {
-			return int(field.Integer)
-		}
-	}
-	return 0
-}
-
 // fields tell what kept a request from the servers.
 func (refusal *refusal) fields() []zap.Field {
 	outlook := refusal.Outlook
--- a/lib/platform/watch.go
+++ b/lib/platform/watch.go
@@ -53,12 +53,12 @@
 	}
 
 	// Watch follows one table. Wait is how long a poll waits for a change; Settle
-	// is the least pause between two polls, which joins changes that come together.
+	// tells the least pause between two polls, which joins changes that come together.
 	Watch struct {
 		Feed   Feed
 		Table  string
 		Wait   time.Duration
-		Settle time.Duration
+		Settle func() time.Duration
 		Logger *zap.Logger
 		// Scope gets the revision of the view and when the store last answered.
 		Scope tally.Scope
@@ -75,6 +75,11 @@
 	}
 )
 
+// Fixed returns a settle time that never changes.
+func Fixed(span time.Duration) func() time.Duration {
+	return func() time.Duration { return span }
+}
+
 // Run follows the table until the context ends.
 func (watch Watch) Run(ctx context.Context) {
 	state := &watching{Watch: watch, pauses: backoff.NewExponentialBackOff()}
@@ -94,7 +99,7 @@
 	}
 	if err == nil {
 		watch.succeed()
-		pause(ctx, watch.Settle)
+		pause(ctx, watch.Settle())
 		return
 	}
 	if ctx.Err() != nil {
--- a/lib/platform/watch_test.go
+++ b/lib/platform/watch_test.go
@@ -45,7 +45,7 @@
 		defer cancel()
 		resumed := make(chan time.Time, 1)
 		go Watch{
-			Feed: feed, Table: "op", Wait: 20 * time.Second, Logger: zap.NewNop(), Scope: tally.NoopScope,
+			Feed: feed, Table: "op", Wait: 20 * time.Second, Settle: Fixed(0), Logger: zap.NewNop(), Scope: tally.NoopScope,
 			Update: func(view View) {
 				if !view.Resumed.IsZero() {
 					resumed <- view.Resumed
