--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 GO_FILES = $$(git ls-files --cached --others --exclude-standard '*.go' | grep -v '\.pb\.go$$')
 
 # No job is named after a file that it makes.
-.PHONY: help build demo soak bench_burst compare_bursts bench_requests bench_config bench_control test format format-check lint vet unit race clean
+.PHONY: help build demo soak soak_routed bench_emulation bench_burst compare_bursts bench_requests bench_config bench_control test format format-check lint vet unit race clean
 
 help: ## List the jobs
 	@grep -E '^[a-z_-]+:.*##' Makefile | sed 's/:.*##/:/'
@@ -46,6 +46,12 @@
 soak: build ## Long run with faults: SECONDS, SEED
 	@SOAK_SECONDS=$(or $(SECONDS),600) SEED=$(or $(SEED),7) scripts/soak.sh
 
+soak_routed: ## Long run of the routed programs on the platform's stand-ins: SECONDS, SEED, SEEDS
+	@SOAK_SECONDS=$(or $(SECONDS),60) SOAK_SEED=$(or $(SEED),1) SOAK_SEEDS=$(or $(SEEDS),1) go test -count=1 -timeout 2h -v firford/platform/soak
+
+bench_emulation: build ## Compare policies of placing, waiting and refusing in simulated time: SEEDS
+	@$(BIN)/bench emulation --seeds $(or $(SEEDS),3)
+
 bench_requests: build ## Measure the request path: policies, goodput, added latency, requests per second
 	@scripts/bench_requests.sh
 
