Remove what the reading found written twice or done too often

- Entry and agent each worked out an agent's address and logged unread rows, and the follower logged them a third time: Server.Agent and View.LogUnread.
Lines of entry and agent name the revision now, as the follower's did.
- The gauges of a node were set at each look at the engine, 25 times a second, and built the list of peers for it; now once a second, the interval of the metrics.
- Choose looked for the newest version for each request; only a resumed stream needs it.
- Reading staged pieces back stood twice with its queue and workers: eachStaged. fill parted the missing pieces before it could use two of the three parts, and asked a condition that the next one holds.
- slices.Contains instead of two loops of our own.

Decisions stay as they are; no test was changed.

--- a/cmd/agent/routed/routed.go
+++ b/cmd/agent/routed/routed.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
-	"net/netip"
 	"os"
 	"sync/atomic"
 	"time"
@@ -185,9 +184,7 @@
 
 func (agent *agent) takeServers(view platform.View) {
 	servers, problems := adapter.Servers(view.Rows)
-	for _, problem := range problems {
-		agent.logger.Warn("row not read", zap.Error(problem))
-	}
+	view.LogUnread(agent.logger, problems)
 	agent.servers.Store(&servers)
 }
 
@@ -294,13 +291,9 @@
 // host names a server's agent by the server's address, which its agent knows
 // before the list does.
 func (agent *agent) host(server placements.Server) hosts.Host {
-	address, err := netip.ParseAddrPort(server.Address)
-	if err != nil {
-		agent.logger.Error("unchecked address", zap.String("address", server.Address), zap.Error(err))
-	}
 	return hosts.Host{
 		Name: server.Address, Role: hosts.RoleAgent, DataCentre: server.DataCentre, Region: agent.settings.Regions[server.DataCentre],
-		ChunkAddress: netip.AddrPortFrom(address.Addr(), uint16(agent.settings.PeerPort)).String(),
+		ChunkAddress: server.Agent(agent.settings.PeerPort).String(),
 	}
 }
 
--- a/cmd/bench/emulation/command.go
+++ b/cmd/bench/emulation/command.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"os"
+	"slices"
 	"strings"
 )
 
@@ -63,15 +64,7 @@
 
 // isNamed reports whether the list is empty or holds the name.
 func isNamed(list, name string) bool {
-	if list == "" {
-		return true
-	}
-	for _, each := range strings.Split(list, ",") {
-		if each == name {
-			return true
-		}
-	}
-	return false
+	return list == "" || slices.Contains(strings.Split(list, ","), name)
 }
 
 // printRows writes a table of the rows.
--- a/cmd/entry/routed/routed.go
+++ b/cmd/entry/routed/routed.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/netip"
 	"os"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -203,16 +202,10 @@
 	return list
 }
 
-func (entry *entry) logProblems(problems []error) {
-	for _, problem := range problems {
-		entry.logger.Warn("row not read", zap.Error(problem))
-	}
-}
-
 // takeServers takes the list of backend servers.
 func (entry *entry) takeServers(view platform.View) {
 	servers, problems := adapter.Servers(view.Rows)
-	entry.logProblems(problems)
+	view.LogUnread(entry.logger, problems)
 	var changes []placements.Change
 	entry.desk.Change(func(fleet *placements.Fleet, now time.Time) { changes = fleet.List(servers, view.Resumed, now) })
 	entry.logChanges(changes)
@@ -223,7 +216,7 @@
 		if service, found := entry.wishes.Routes().Service(server.Service); found && service.Engine == nil {
 			continue
 		}
-		agents = append(agents, agentAddress(server, entry.settings.PeerPort))
+		agents = append(agents, server.Agent(entry.settings.PeerPort))
 	}
 	entry.agents.Store(&agents)
 	entry.gateway.KeepServers(known)
@@ -245,19 +238,9 @@
 	}
 }
 
-// agentAddress returns where the agent beside the server is: on its machine, at
-// the port that all processes use.
-func agentAddress(server placements.Server, port int) netip.AddrPort {
-	address, err := netip.ParseAddrPort(server.Address)
-	if err != nil {
-		panic("unchecked address " + server.Address + " port " + strconv.Itoa(port))
-	}
-	return netip.AddrPortFrom(address.Addr(), uint16(port))
-}
-
 // notify tells the agent beside an engine of a request.
 func (entry *entry) notify(notice gateways.Notice) {
-	agent := agentAddress(notice.Server, entry.settings.PeerPort)
+	agent := notice.Server.Agent(entry.settings.PeerPort)
 	if notice.Answered {
 		entry.loads.Answered(agent, notice.Number)
 		return
--- a/lib/directives/directives.go
+++ b/lib/directives/directives.go
@@ -89,9 +89,7 @@
 	wishes := follower.Decode(view.Rows)
 	follower.mutex.Lock()
 	defer follower.mutex.Unlock()
-	for _, problem := range wishes.Problems {
-		follower.Logger.Warn("row not read", zap.Int64("revision", view.Revision), zap.Error(problem))
-	}
+	view.LogUnread(follower.Logger, wishes.Problems)
 	if wishes.Found && wishes.Configuration.Version > follower.Routes().Version() {
 		follower.force(wishes.Configuration, view.Revision)
 	}
--- a/lib/placements/fleet.go
+++ b/lib/placements/fleet.go
@@ -206,7 +206,10 @@
 // entries that see the same reports do not all choose the same.
 func (fleet *Fleet) Choose(need Need, allowance int, now time.Time, chance func() float64) (Choice, bool) {
 	usual := fleet.usualReply(need.Service)
-	newest := fleet.newest(need, now)
+	newest := 0
+	if need.Resumed {
+		newest = fleet.newest(need, now)
+	}
 	var best Choice
 	bestCost, found := 0.0, false
 	for _, id := range fleet.byService[need.Service] {
--- a/lib/placements/standing.go
+++ b/lib/placements/standing.go
@@ -1,6 +1,9 @@
 package placements
 
-import "time"
+import (
+	"net/netip"
+	"time"
+)
 
 const (
 	// reportLifetime is how long a report of an agent counts. Agents report at
@@ -23,8 +26,8 @@
 )
 
 type (
-	// Server is a backend server as the platform lists it. Versions holds the
-	// version of each model that it serves.
+	// Server is a backend server as the platform lists it, with a checked address.
+	// Versions holds the version of each model that it serves.
 	Server struct {
 		ID         string
 		Service    string
@@ -82,6 +85,12 @@
 	Abandoned
 )
 
+// Agent returns the address of the agent beside the server: on its machine, at the
+// port that all processes use.
+func (server Server) Agent(port int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.MustParseAddrPort(server.Address).Addr(), uint16(port))
+}
+
 // WithVersions returns the server with the versions that it serves now.
 func (server Server) WithVersions(versions map[string]int) Server {
 	server.Versions = versions
--- a/lib/platform/watch.go
+++ b/lib/platform/watch.go
@@ -188,6 +188,13 @@
 	watch.Update(view)
 }
 
+// LogUnread writes down rows of the view that could not be read.
+func (view View) LogUnread(logger *zap.Logger, problems []error) {
+	for _, problem := range problems {
+		logger.Warn("row not read", zap.Int64("revision", view.Revision), zap.Error(problem))
+	}
+}
+
 // with returns the view after the changes. Changes that are older than the row
 // that is known are left out, because an answer of the store may arrive late.
 func (view View) with(changes []Change, revision int64) View {
--- a/lib/stagings/content.go
+++ b/lib/stagings/content.go
@@ -122,6 +122,15 @@
 	return set
 }
 
+// indices returns all pieces by number.
+func (content *content) indices() []int {
+	list := make([]int, len(content.pieces))
+	for piece := range list {
+		list[piece] = piece
+	}
+	return list
+}
+
 // missing returns the pieces that are not there yet.
 func (content *content) missing() []int {
 	content.mutex.Lock()
--- a/lib/stagings/counters.go
+++ b/lib/stagings/counters.go
@@ -2,7 +2,15 @@
 
 // Metrics of a node. Labels are the model's name and small fixed sets.
 
-import "github.com/uber-go/tally/v4"
+import (
+	"context"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// measureInterval is as long as the interval of the metrics.
+const measureInterval = time.Second
 
 // Ways on which a piece came, as metrics name them.
 const (
@@ -12,13 +20,17 @@
 	wayStage  = "stage"
 )
 
-// measure sets the gauges of versions and pieces.
-func (node *Node) measure(status Status) {
-	targets := node.World().Targets
-	if len(targets) == 0 {
-		return
+// measure keeps the gauges of versions and pieces until the context ends.
+func (node *Node) measure(ctx context.Context) {
+	for ; ctx.Err() == nil; sleep(ctx, measureInterval) {
+		if targets := node.World().Targets; len(targets) > 0 {
+			node.measureTarget(targets[len(targets)-1])
+		}
 	}
-	newest := targets[len(targets)-1]
+}
+
+func (node *Node) measureTarget(newest Target) {
+	status, _ := node.current()
 	scope := node.Scope.Tagged(map[string]string{"model": newest.Model})
 	scope.Gauge("version_wanted").Update(float64(newest.Version))
 	scope.Gauge("version_served").Update(float64(status.Versions[newest.Model]))
--- a/lib/stagings/fetch.go
+++ b/lib/stagings/fetch.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 )
 
 const (
@@ -135,18 +136,18 @@
 	}
 	wanted := len(content.missing())
 	plan := node.setPlan(target, node.probe(content))
-	first, duties, rest := split(content, plan)
+	first, _, _ := split(content, plan)
 	if len(first) > 0 && !node.readFirst(ctx, content, target, first) {
 		return true
 	}
-	if len(first)+len(duties)+len(rest) > 0 && node.isHandedOn(plan, content) {
+	if node.isHandedOn(plan, content) {
 		node.receive(ctx, content)
 		if len(content.missing()) > 0 {
 			// Those who were to hand the rest over are slow or gone. Others have it by now.
 			plan = node.setPlan(target, node.probe(content))
 		}
 	}
-	first, duties, rest = split(content, plan)
+	first, duties, rest := split(content, plan)
 	var group sync.WaitGroup
 	group.Go(func() { node.fetchAll(ctx, content, target, first) })
 	group.Go(func() { node.fetchAll(ctx, content, target, duties) })
@@ -282,23 +283,22 @@
 
 // recall takes the pieces that lie beside the engine and match.
 func (node *Node) recall(ctx context.Context, content *content) {
-	var group sync.WaitGroup
-	queue := make(chan int, len(content.pieces))
-	for _, piece := range content.missing() {
-		queue <- piece
-	}
-	close(queue)
-	for range stagingWorkers {
-		group.Go(func() {
-			for piece := range queue {
-				body, err := node.Engine.ReadPiece(ctx, content.manifest.Model, piece)
-				if err == nil && content.put(piece, body) {
-					node.countPiece(wayStage, len(body))
-				}
-			}
-		})
+	eachStaged(content.missing(), func(piece int) {
+		body, err := node.Engine.ReadPiece(ctx, content.manifest.Model, piece)
+		if err == nil && content.put(piece, body) {
+			node.countPiece(wayStage, len(body))
+		}
+	})
+}
+
+// eachStaged calls act for each piece, for a few of them at a time.
+func eachStaged(pieces []int, act func(piece int)) {
+	var group errgroup.Group
+	group.SetLimit(stagingWorkers)
+	for _, piece := range pieces {
+		group.Go(func() error { act(piece); return nil })
 	}
-	group.Wait()
+	_ = group.Wait() // The calls return no errors.
 }
 
 // fetch brings one piece. It returns true if the best source is still fetching
--- a/lib/stagings/node.go
+++ b/lib/stagings/node.go
@@ -157,6 +157,7 @@
 // other, because a version may be named while an earlier one is being started.
 func (node *Node) Run(ctx context.Context) {
 	go node.observe(ctx)
+	go node.measure(ctx)
 	for range handWorkers {
 		go node.handOn(ctx)
 	}
@@ -218,7 +219,6 @@
 	node.Upload.SetLimit(limit)
 	node.download.SetLimit(limit)
 	node.Report(status, closed)
-	node.measure(status)
 }
 
 func (node *Node) current() (Status, bool) {
--- a/lib/stagings/start.go
+++ b/lib/stagings/start.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -139,23 +138,12 @@
 
 // check reads back every piece and stages those again that do not match.
 func (node *Node) check(ctx context.Context, content *content) error {
-	var group sync.WaitGroup
 	var spoilt atomic.Bool
-	queue := make(chan int, len(content.pieces))
-	for piece := range content.pieces {
-		queue <- piece
-	}
-	close(queue)
-	for range stagingWorkers {
-		group.Go(func() {
-			for piece := range queue {
-				if !node.checkPiece(ctx, content, piece) {
-					spoilt.Store(true)
-				}
-			}
-		})
-	}
-	group.Wait()
+	eachStaged(content.indices(), func(piece int) {
+		if !node.checkPiece(ctx, content, piece) {
+			spoilt.Store(true)
+		}
+	})
 	if spoilt.Load() {
 		return errSpoilt
 	}
--- a/lib/timelines/causes.go
+++ b/lib/timelines/causes.go
@@ -6,6 +6,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -113,14 +114,14 @@
 func latest(others []Line, of Line, span time.Duration, events ...string) (Line, bool) {
 	address := of.Fields["address"]
 	return last(others, of.Time, span, func(line Line) bool {
-		return address != "" && line.Fields["engine"] == address && isOneOf(line.Event, events)
+		return address != "" && line.Fields["engine"] == address && slices.Contains(events, line.Event)
 	})
 }
 
 // latestOf is latest for events of the request's own entry that name a server.
 func latestOf(others []Line, server string, of Line, span time.Duration, events ...string) (Line, bool) {
 	return last(others, of.Time, span, func(line Line) bool {
-		return line.Process == of.Process && line.Fields["server"] == server && isOneOf(line.Event, events)
+		return line.Process == of.Process && line.Fields["server"] == server && slices.Contains(events, line.Event)
 	})
 }
 
@@ -137,15 +138,6 @@
 	return found, !found.Time.IsZero()
 }
 
-func isOneOf(event string, events []string) bool {
-	for _, each := range events {
-		if each == event {
-			return true
-		}
-	}
-	return false
-}
-
 // endings explains each reason for which a gateway ends a request itself.
 var endings = map[string]string{
 	"no configuration yet":            "the entry had read no configuration yet",
