Estimate ages from the range of stated timeouts

Cause: callers of the new deployment state timeouts that differ by up to 0.9 s at their first attempt. The difference from the largest one was taken for time already spent, so about half of the first attempts counted as late on arrival and waited behind the others.

Change: lib/placements estimates the shortest timeout of first attempts, from windows of stated timeouts, and counts only what lies below it.

--- a/lib/gateways/caller_timeouts.go
+++ b/lib/gateways/caller_timeouts.go
@@ -1,27 +1,27 @@
 package gateways
 
-// This file estimates when a caller first sent a request. Callers state only the
-// time that they have left. A retry has less of it than the first attempt, so the
-// difference from the largest time seen on the route is the time already spent.
+// This file remembers the timeouts that callers of each route state, from which
+// lib/placements estimates when a caller first sent a request.
 
 import (
 	"sync"
 	"time"
+
+	"firford/lib/placements"
 )
 
-// maxTrackedRoutes bounds the routes whose largest caller timeout is remembered.
+// maxTrackedRoutes bounds the routes whose timeouts are remembered.
 const maxTrackedRoutes = 4096
 
-// callerTimeouts remembers the largest timeout that callers of each route state,
-// which is what they have on their first attempt. A retry has less time left. It
-// is safe for concurrent use.
+// callerTimeouts holds the timeouts that callers of each route stated. It is safe for
+// concurrent use.
 type callerTimeouts struct {
-	mutex   sync.Mutex
-	largest map[string]time.Duration
+	mutex  sync.Mutex
+	routes map[string]placements.StatedTimeouts
 }
 
 func newCallerTimeouts() *callerTimeouts {
-	return &callerTimeouts{largest: map[string]time.Duration{}}
+	return &callerTimeouts{routes: map[string]placements.StatedTimeouts{}}
 }
 
 // elapsed returns how much time a caller with this timeout has spent since its
@@ -32,12 +32,9 @@
 	}
 	timeouts.mutex.Lock()
 	defer timeouts.mutex.Unlock()
-	largest := timeouts.largest[route]
-	if timeout <= largest {
-		return largest - timeout
-	}
-	if len(timeouts.largest) < maxTrackedRoutes {
-		timeouts.largest[route] = timeout
+	stated, isTracked := timeouts.routes[route]
+	if isTracked || len(timeouts.routes) < maxTrackedRoutes {
+		timeouts.routes[route] = stated.With(timeout)
 	}
-	return 0
+	return stated.Elapsed(timeout)
 }
