Discard queued bytes when a connection is aborted

Cause: an ordinary close transmits what is still queued. Over a narrowed link, a request reached its engine seconds after its caller had left (GONE) or its version was due (VERSION).

Change: attempts that end without a reusable connection reset it. The test fails without the option: the server then reads all queued bytes.

--- a/lib/gateways/connections.go
+++ b/lib/gateways/connections.go
@@ -214,11 +214,21 @@
 	return nil, ResponseInfo{}, errors.New("all answers on the connection belong to other requests")
 }
 
-// closeOnCancel closes the connection when the context ends, which also makes the
+// abort closes the connection and discards the bytes that were not transmitted yet. An
+// ordinary close transmits them first: over a full link, a request could reach its
+// server seconds after its caller has left or its version was replaced.
+func (conn *connection) abort() {
+	if tcp, isTCP := conn.Conn.(*net.TCPConn); isTCP {
+		_ = tcp.SetLinger(0) // Fails only on a closed connection.
+	}
+	_ = conn.Close()
+}
+
+// abortOnCancel aborts the connection when the context ends, which also makes the
 // server stop its work. The returned function cancels this and reports whether it
-// did so before the connection was closed.
-func (conn *connection) closeOnCancel(ctx context.Context) func() bool {
-	return context.AfterFunc(ctx, func() { _ = conn.Close() })
+// did so before the connection was aborted.
+func (conn *connection) abortOnCancel(ctx context.Context) func() bool {
+	return context.AfterFunc(ctx, conn.abort)
 }
 
 // encodeRequest returns the head and body of a request in one buffer, so that the
--- a/lib/gateways/forward.go
+++ b/lib/gateways/forward.go
@@ -36,12 +36,12 @@
 	if err != nil {
 		return request.classifyError(ctx, err)
 	}
-	stop := conn.closeOnCancel(ctx)
+	stop := conn.abortOnCancel(ctx)
 	pooled := false
 	defer func() {
 		stop()
 		if !pooled {
-			_ = conn.Close()
+			conn.abort()
 		}
 	}()
 	if request.callerDisconnected() {
--- a/lib/gateways/gateways_test.go
+++ b/lib/gateways/gateways_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -274,6 +275,29 @@
 	})
 }
 
+// Guards against a request that reaches its server long after its caller has left. It
+// happened over a full link: an ordinary close transmits what is queued first.
+func TestAbortDiscardsQueuedBytes(t *testing.T) {
+	convey.Convey("Given a connection with bytes that the server has not accepted yet", t, func() {
+		listener, _ := net.Listen("tcp", "127.0.0.1:0")
+		defer func() { _ = listener.Close() }()
+		conn, err := dial(context.Background(), listener.Addr().String())
+		convey.So(err, convey.ShouldBeNil)
+		accepted, err := listener.Accept()
+		convey.So(err, convey.ShouldBeNil)
+		defer func() { _ = accepted.Close() }()
+		_ = conn.SetWriteDeadline(time.Now().Add(200 * time.Millisecond))
+		written, err := conn.Write(make([]byte, 64<<20))
+		convey.So(err, convey.ShouldNotBeNil) // The server reads nothing, so the queues fill.
+		ctx, cancel := context.WithCancel(context.Background())
+		conn.abortOnCancel(ctx)
+		cancel()
+		received, err := io.Copy(io.Discard, accepted)
+		convey.So(err, convey.ShouldNotBeNil)
+		convey.So(received, convey.ShouldBeLessThan, int64(written))
+	})
+}
+
 // Guards against streams that are retried after a network partition although their
 // callers gave up during it. The callers could not report that.
 func TestAbandonedStreamsAreNotRetried(t *testing.T) {
