Keep the distribution of a version from waiting in a circle

Change: an agent tells what it will not bring (410); each version is distributed by one plan, made without the first pieces; own pieces are retried in turn until they are there, also while the agent waits for pushes; the manifest and own pieces of the newest version are read ahead; missing pieces are pulled from whoever has them, by asking again; a named version makes agents read the server list at once; links are used in full within 4 s of the due time; staged pieces are reused by an agent that has restarted.

Ruled out: cutting off slow probes 100 ms after most answered (agents then make different plans: up to 8 pieces lacked a reader), and a plan for each fetch (the same with the first pieces).

--- a/cmd/agent/routed/routed.go
+++ b/cmd/agent/routed/routed.go
@@ -64,6 +64,8 @@
 		follower     *directives.Follower
 		operatorFeed *directives.PrefixFeed
 		servers      atomic.Pointer[[]placements.Server]
+		// serversWanted ends the pause between two polls of the server list.
+		serversWanted chan struct{}
 		// lastRestart is the last restart of the engine, and status its newest status.
 		// Both are nil at first.
 		lastRestart atomic.Pointer[restart]
@@ -88,10 +90,12 @@
 	}
 	logger = logger.With(zap.String("engine", settings.BackendServerAddress))
 	agent := &agent{
-		settings:  settings,
-		logger:    logger,
-		metrics:   metrics.New("firford_agent"),
-		logBuffer: logBuffer,
+		settings: settings,
+		logger:   logger,
+		metrics:  metrics.New("firford_agent"),
+
+		serversWanted: make(chan struct{}, 1),
+		logBuffer:     logBuffer,
 		self: hosts.Host{
 			Name: settings.BackendServerAddress, Role: hosts.RoleAgent, ChunkAddress: settings.PeerAddress(),
 			DataCentre: settings.DataCentre, Region: settings.Region,
@@ -102,7 +106,7 @@
 	agent.follower = directives.New(directives.Dependencies{
 		Feed: agent.operatorFeed, Table: adapter.OperatorTable, PollWait: storePollWait,
 		VersionTimeout: settings.VersionTimeout,
-		Decode:         adapter.DecodeDesiredState, RoutesChanged: func(routes.Table) {}, VersionAnnounced: func() {}, Logger: logger, Scope: agent.metrics.Scope,
+		Decode:         adapter.DecodeDesiredState, RoutesChanged: func(routes.Table) {}, VersionAnnounced: agent.refreshServers, Logger: logger, Scope: agent.metrics.Scope,
 	})
 	agent.servers.Store(&[]placements.Server{})
 	defer func() { _ = agent.metrics.Close() }()
@@ -169,11 +173,20 @@
 
 func (agent *agent) followServers(ctx context.Context) {
 	platform.Watcher{
-		Feed: agent.store, Table: adapter.ServerTable, PollWait: storePollWait, PollPause: agent.serverPollPause,
+		Feed: agent.store, Table: adapter.ServerTable, PollWait: storePollWait, PollPause: agent.serverPollPause, Wake: agent.serversWanted,
 		Logger: agent.logger, Scope: agent.metrics.Scope, OnUpdate: agent.applyServerList,
 	}.Run(ctx)
 }
 
+// refreshServers makes the agent read the server list now. The plan of a version that
+// was just announced must not count on agents whose engines are leaving.
+func (agent *agent) refreshServers() {
+	select {
+	case agent.serversWanted <- struct{}{}:
+	default:
+	}
+}
+
 // serverPollPause returns the pause between two polls of the server list.
 func (agent *agent) serverPollPause() time.Duration {
 	lastRestart := agent.lastRestart.Load()
@@ -231,6 +244,9 @@
 	if !found || service.Engine == nil || len(service.Engine.Models) == 0 {
 		return stagings.FleetView{}
 	}
+	if server, isListed := agent.listedServer(); isListed && server.Draining {
+		return stagings.FleetView{}
+	}
 	model := service.Engine.Models[0]
 	view := stagings.FleetView{Targets: agent.wantedTargets(model, service.Engine.Pieces)}
 	for _, origin := range table.Origins() {
--- a/lib/platform/watcher.go
+++ b/lib/platform/watcher.go
@@ -60,7 +60,9 @@
 		Table     string
 		PollWait  time.Duration
 		PollPause func() time.Duration
-		Logger    *zap.Logger
+		// Wake ends a pause between two polls early. It may be nil.
+		Wake   <-chan struct{}
+		Logger *zap.Logger
 		// Scope receives the revision of the view and the time of the store's last
 		// answer as metrics.
 		Scope tally.Scope
@@ -104,7 +106,7 @@
 	}
 	if err == nil {
 		state.recordSuccess()
-		pause(ctx, state.PollPause())
+		state.pauseBetweenPolls(ctx)
 		return
 	}
 	if ctx.Err() != nil {
@@ -120,6 +122,15 @@
 	pause(ctx, state.backoff.NextBackOff())
 }
 
+// pauseBetweenPolls waits for the pause between two polls or until it is ended early.
+func (state *watcherState) pauseBetweenPolls(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-state.Wake:
+	case <-time.After(state.PollPause()):
+	}
+}
+
 // pause waits for the duration or until the context ends.
 func pause(ctx context.Context, duration time.Duration) {
 	if duration <= 0 {
--- a/lib/stagings/content.go
+++ b/lib/stagings/content.go
@@ -65,23 +65,25 @@
 	return &content{manifest: manifest, pieces: make([][]byte, len(manifest.Digests)), changed: make(chan struct{})}
 }
 
-// put stores a piece if it matches its digest and reports whether it matched.
-func (content *content) put(piece int, body []byte) bool {
+// put stores a piece if it matches its digest. It reports whether it matched, and
+// whether it was missing until now.
+func (content *content) put(piece int, body []byte) (isValid, isNew bool) {
 	if !content.manifest.Verify(piece, body) {
-		return false
+		return false, false
 	}
 	content.mutex.Lock()
 	defer content.mutex.Unlock()
-	if content.pieces[piece] == nil {
-		content.pieces[piece] = body
-		content.count++
-		if content.count == len(content.pieces) {
-			content.completedAt = time.Now()
-		}
-		close(content.changed)
-		content.changed = make(chan struct{})
+	if content.pieces[piece] != nil {
+		return true, false
+	}
+	content.pieces[piece] = body
+	content.count++
+	if content.count == len(content.pieces) {
+		content.completedAt = time.Now()
 	}
-	return true
+	close(content.changed)
+	content.changed = make(chan struct{})
+	return true, true
 }
 
 // get returns the piece, or nil if it is missing or out of range, and a channel
--- a/lib/stagings/fetch.go
+++ b/lib/stagings/fetch.go
@@ -22,10 +22,16 @@
 	// wait at a peer; the rate limits bound the bytes a second.
 	idleFetchWorkers    = 6
 	servingFetchWorkers = 3
-	// pendingTimeout is how long to wait for a piece that its source is still
-	// fetching. It covers the origin's time for one copy and the transfer over two
-	// links.
+	// pendingTimeout is how long failed reads of an agent's own pieces are retried. It
+	// covers the origin's time for one copy and the transfer over two links.
 	pendingTimeout = 3 * time.Second
+	// pullTimeout is how long missing pieces are requested before the fetch counts as
+	// failed, and pullInterval how long after one round of requests the next one is made.
+	pullTimeout  = 3 * time.Second
+	pullInterval = 250 * time.Millisecond
+	// replaceReaderAfter is how long nobody may have had a piece until other agents
+	// read it from the origin in place of the responsible one.
+	replaceReaderAfter = 600 * time.Millisecond
 	// originRetryDelay is the delay before a failed read from the origin is retried.
 	originRetryDelay = 100 * time.Millisecond
 	// suspectTime is how long a peer is avoided after it failed.
@@ -41,7 +47,7 @@
 	planLifetime = 400 * time.Millisecond
 	// pushIdleTimeout is how long no pushed piece may arrive before this agent
 	// requests the missing ones.
-	pushIdleTimeout = 900 * time.Millisecond
+	pushIdleTimeout = 600 * time.Millisecond
 	// pushTimeFactor times the transfer time of a copy is how long the pushes of its
 	// pieces may take.
 	pushTimeFactor = 1.5
@@ -137,36 +143,30 @@
 }
 
 // fetchMissing collects the missing pieces: first those that are still staged at
-// the engine, then those from peers and the origin. The pieces that this agent has
-// to bring into its region come first, because other agents wait for them. It
-// returns true if the content is complete or the caller should plan again at once.
+// the engine, then those that this agent reads from the origin, those that others
+// push, and whatever is missing after that. It returns true if the content is complete or the caller should plan again at once.
 func (node *Node) fetchMissing(ctx context.Context, content *content, target Target, status Status) bool {
 	began := time.Now()
-	if status.Versions[target.Model] == target.Version || len(status.Versions) == 0 {
+	if target.AnnouncedAt.IsZero() || status.Versions[target.Model] == target.Version || len(status.Versions) == 0 {
 		node.reuseStaged(ctx, content)
 	}
 	wanted := len(content.missing())
-	plan := node.computePlan(target, node.probePeers(content))
-	own, _, _ := splitMissing(content, plan)
+	plan := node.distributionPlan(content, target)
+	own := ownMissing(content, plan)
 	if len(own) > 0 && !node.readOwnPieces(ctx, content, target, own) {
 		return true
 	}
+	ctx, stopReading := context.WithCancel(ctx)
+	defer stopReading()
+	go node.retryOwnPieces(ctx, content, target)
 	if node.expectsPushes(plan, content) {
+		awaitedAt := time.Now()
 		node.awaitPushes(ctx, content)
-		if len(content.missing()) > 0 {
-			// The agents that should have pushed the remaining pieces are slow or have
-			// stopped. By now other agents may have these pieces.
-			plan = node.computePlan(target, node.probePeers(content))
-		}
+		node.Logger.Info("pushes awaited", zap.Int("version", target.Version), zap.Int("missing", len(content.missing())), zap.Duration("took", time.Since(awaitedAt)))
 	}
-	own, regional, rest := splitMissing(content, plan)
-	var group sync.WaitGroup
-	group.Go(func() { node.fetchAll(ctx, content, target, own) })
-	group.Go(func() { node.fetchAll(ctx, content, target, regional) })
-	node.fetchAll(ctx, content, target, rest)
-	group.Wait()
+	node.pullMissing(ctx, content, target)
 	if !content.complete() {
-		node.countFailedFetch(target.Version)
+		node.recordFailedFetch(target.Version)
 	}
 	node.Logger.Info("pieces fetched", zap.String("model", target.Model), zap.Int("version", target.Version),
 		zap.Int("wanted", wanted), zap.Int("missing", len(content.missing())), zap.Duration("took", time.Since(began)))
@@ -178,24 +178,39 @@
 // arrives after the transfer time of one piece and can be pushed on, instead of
 // all pieces arriving together at the end. It returns false if the plan has to be
 // made again: agents that start together see only some of the others at first,
-// and would all read the same pieces.
+// and would all read the same pieces. After one try at each piece, those that failed
+// are retried in turn, so that none has to wait for the retries of another.
 func (node *Node) readOwnPieces(ctx context.Context, content *content, target Target, pieces []int) bool {
+	node.originMutex.Lock()
+	defer node.originMutex.Unlock()
 	pieceTime := transferTime(content.manifest.PieceBytes, node.FleetView().OriginMbps)
 	began := time.Now()
 	for i, piece := range pieces {
 		if target.AnnouncedAt.IsZero() && i > 0 && time.Since(began) > planLifetime {
+			node.dropPlan(target.Version)
 			return false
 		}
 		if !target.AnnouncedAt.IsZero() {
 			sleep(ctx, time.Until(target.AnnouncedAt.Add(pieceTime*time.Duration(piece))))
 		}
-		node.fetchAll(ctx, content, target, []int{piece})
+		node.fetchPiece(ctx, content, piece, node.planFor(target).Sources(piece), time.Now())
 	}
+	node.fetchAll(ctx, content, target, ownMissing(content, node.planFor(target)), time.Now().Add(pendingTimeout))
 	node.Logger.Info("own pieces read from the origin", zap.Int("version", target.Version), zap.Int("pieces", len(pieces)),
 		zap.Int("missing", len(content.missing())), zap.Duration("took", time.Since(began)))
 	return true
 }
 
+// retryOwnPieces reads from the origin the pieces that readOwnPieces did not get and
+// those that a new plan assigns to this agent, until the context ends. The others wait
+// for them, while this agent waits for theirs.
+func (node *Node) retryOwnPieces(ctx context.Context, content *content, target Target) {
+	for ctx.Err() == nil && node.isWanted(content) {
+		node.fetchAll(ctx, content, target, ownMissing(content, node.planFor(target)), time.Now().Add(pendingTimeout))
+		sleep(ctx, idleDelay)
+	}
+}
+
 // transferTime returns how long this many bytes take over a link, or zero if its
 // rate is unknown.
 func transferTime(bytes int64, mbps float64) time.Duration {
@@ -205,6 +220,22 @@
 	return time.Duration(float64(bytes) * bitsPerByte / (mbps * megabit) * float64(time.Second))
 }
 
+// pullMissing requests the missing pieces until the content is complete or pullTimeout
+// has passed. The agents that should have pushed them are slow or have stopped, so it
+// asks again and again who has pieces by now, instead of waiting for any one agent.
+func (node *Node) pullMissing(ctx context.Context, content *content, target Target) {
+	began := time.Now()
+	for !content.complete() && time.Since(began) < pullTimeout && ctx.Err() == nil && node.isWanted(content) {
+		plan := node.computePlan(target, node.probePeers(content))
+		available := plan.available(content.missing(), time.Since(began) > replaceReaderAfter)
+		if len(available) == 0 {
+			sleep(ctx, pullInterval)
+			continue
+		}
+		node.fetchAll(ctx, content, target, available, time.Now().Add(pullInterval))
+	}
+}
+
 // expectsPushes reports whether other agents are expected to push missing pieces.
 func (node *Node) expectsPushes(plan Plan, content *content) bool {
 	for _, piece := range content.missing() {
@@ -243,26 +274,21 @@
 	return max(pushIdleTimeout, time.Duration(pushTimeFactor*float64(copyTime)))
 }
 
-// splitMissing splits the missing pieces into those that this agent reads from the
-// origin, those that it brings into its region, and the rest.
-func splitMissing(content *content, plan Plan) (own, regional, rest []int) {
+// ownMissing returns the missing pieces that this agent reads from the origin.
+func ownMissing(content *content, plan Plan) []int {
+	var own []int
 	for _, piece := range content.missing() {
-		switch {
-		case plan.IsOriginReader(piece):
+		if plan.IsOriginReader(piece) {
 			own = append(own, piece)
-		case plan.IsRegionalFetcher(piece):
-			regional = append(regional, piece)
-		default:
-			rest = append(rest, piece)
 		}
 	}
-	return own, regional, rest
+	return own
 }
 
 // fetchAll fetches the pieces concurrently. A piece that its source is still
-// fetching goes to the end of the queue, so that no worker waits for it while
-// other pieces are available.
-func (node *Node) fetchAll(ctx context.Context, content *content, target Target, pieces []int) {
+// fetching goes to the end of the queue until the deadline, so that no worker waits
+// for it while other pieces are available.
+func (node *Node) fetchAll(ctx context.Context, content *content, target Target, pieces []int, deadline time.Time) {
 	if len(pieces) == 0 {
 		return
 	}
@@ -272,7 +298,6 @@
 	}
 	var left atomic.Int64
 	left.Store(int64(len(pieces)))
-	deadline := time.Now().Add(pendingTimeout)
 	var group sync.WaitGroup
 	for range node.fetchWorkers() {
 		group.Go(func() {
@@ -304,7 +329,10 @@
 func (node *Node) reuseStaged(ctx context.Context, content *content) {
 	forEachPiece(content.missing(), func(piece int) {
 		body, err := node.Engine.ReadPiece(ctx, content.manifest.Model, piece)
-		if err == nil && content.put(piece, body) {
+		if err != nil {
+			return
+		}
+		if _, isNew := content.put(piece, body); isNew {
 			node.countPiece(sourceStage, len(body))
 		}
 	})
@@ -333,20 +361,28 @@
 			continue
 		}
 		body, err := node.requestPiece(ctx, source, manifest, piece)
+		isValid, isNew := false, false
+		if err == nil {
+			isValid, isNew = content.put(piece, body)
+		}
 		switch {
-		case err == nil && content.put(piece, body):
+		case isValid:
 			node.countPiece(source.metricsTag(), len(body))
-			node.storePiece(ctx, content, piece)
+			if isNew {
+				node.storePiece(ctx, content, piece)
+			}
 			// The download limit is applied after the transfer, because most requests
 			// return no piece.
 			_ = node.download.WaitN(ctx, len(body)) // Fails only when the context ends.
 			return false
 		case errors.Is(err, errPending) && time.Now().Before(deadline):
 			return true
-		case err != nil && len(sources) == 1 && time.Now().Before(deadline):
+		case len(sources) == 1 && time.Now().Before(deadline):
 			// No other agent reads this piece from the origin, so the read is retried.
-			node.Logger.Info("origin did not answer", zap.Int("piece", piece), zap.Error(err))
-			sleep(ctx, originRetryDelay)
+			node.Logger.Info("origin did not answer", zap.Int("piece", piece), zap.Bool("spoilt", err == nil), zap.Error(err))
+			if err != nil {
+				sleep(ctx, originRetryDelay)
+			}
 			return true
 		case err != nil && !source.Origin && !errors.Is(err, errPending):
 			node.markSuspect(source.Host.Name, time.Now().Add(suspectTime))
@@ -382,13 +418,16 @@
 }
 
 // stageNewPiece writes a piece to the engine's staging area, where it outlives this
-// process. While another version is being started or is ready to start, the piece
-// stays in memory only and is staged when its own version is started.
+// process. While another version is being completed or started, the piece stays in
+// memory only and is staged when its own version is started.
 func (node *Node) stageNewPiece(ctx context.Context, content *content, piece int) {
 	status, _ := node.latestStatus()
 	if target, _ := node.startableTarget(status); target.Version != 0 && target.Version != content.manifest.Version {
 		return
 	}
+	if next, found := node.nextTarget(); found && next.Version != content.manifest.Version {
+		return
+	}
 	node.stageMutex.RLock()
 	defer node.stageMutex.RUnlock()
 	if node.startingVersion == 0 || node.startingVersion == content.manifest.Version {
--- a/lib/stagings/node.go
+++ b/lib/stagings/node.go
@@ -24,11 +24,17 @@
 	statusInterval = 40 * time.Millisecond
 	// idleDelay is the delay after a step that had nothing to do.
 	idleDelay = 60 * time.Millisecond
+	// engineLossTime is how long an engine may fail to answer before its agent no longer
+	// takes part in fetching: it usually stops soon after its engine.
+	engineLossTime = 400 * time.Millisecond
 	// servingLinkShare is the share of the link that transfers may use while the
 	// engine answers requests. They are not limited while the engine is idle.
 	servingLinkShare = 0.85
+	// urgentTime is how long before its due time the transfers of a version are no
+	// longer limited.
+	urgentTime = 4 * time.Second
 	// keptVersions is how many versions are kept in memory for peers.
-	keptVersions = 2
+	keptVersions = 3
 	bitsPerByte  = 8
 	megabit      = 1e6
 )
@@ -117,12 +123,6 @@
 		Scope         tally.Scope
 	}
 
-	// cachedPlan is the plan that was made last, and the version that it is for.
-	cachedPlan struct {
-		plan    Plan
-		version int
-	}
-
 	// Node fetches the versions of its FleetView and starts them at its engine.
 	Node struct {
 		Dependencies
@@ -134,13 +134,16 @@
 		stageMutex      sync.RWMutex
 		startingVersion int
 
+		// originMutex is held while this agent's own pieces are read from the origin.
+		originMutex sync.Mutex
+
 		mutex         sync.Mutex
 		status        Status
 		lastStatusAt  time.Time
 		closed        bool
 		pushQueue     chan pushTask
 		contents      map[int]*content
-		cachedPlan    cachedPlan
+		plans         map[int]Plan
 		failedFetches map[int]int
 		suspects      map[string]time.Time
 	}
@@ -154,6 +157,7 @@
 		download:      rate.NewLimiter(rate.Inf, maxPieceBytes),
 		contents:      map[int]*content{},
 		pushQueue:     make(chan pushTask, pushQueueSize),
+		plans:         map[int]Plan{},
 		failedFetches: map[int]int{},
 		suspects:      map[string]time.Time{},
 	}
@@ -161,7 +165,8 @@
 
 // Run runs the node until the context ends. Fetching and starting run
 // concurrently, because a version may be announced while an earlier one is being
-// started.
+// started. This agent's own pieces of the newest version are read while an earlier
+// one is still being completed, because the origin may be unavailable later.
 func (node *Node) Run(ctx context.Context) {
 	go node.pollStatus(ctx)
 	go node.updateMetrics(ctx)
@@ -169,6 +174,7 @@
 		go node.runPushes(ctx)
 	}
 	go repeat(ctx, node.fetchNext)
+	go repeat(ctx, node.readAhead)
 	repeat(ctx, node.startNext)
 }
 
@@ -225,7 +231,7 @@
 	closed := node.closed || status.Busy
 	node.mutex.Unlock()
 	limit := rate.Inf
-	if status.Running > 0 && node.LinkMbps > 0 {
+	if status.Running > 0 && node.LinkMbps > 0 && !node.isUrgent() {
 		limit = rate.Limit(servingLinkShare * node.LinkMbps * megabit / bitsPerByte)
 	}
 	node.UploadLimiter.SetLimit(limit)
@@ -233,6 +239,17 @@
 	node.Report(status, closed)
 }
 
+// isUrgent reports whether the version that is being fetched is due so soon that the
+// engine may have to stop answering before it has it.
+func (node *Node) isUrgent() bool {
+	target, found := node.nextTarget()
+	if !found || target.Due.IsZero() || time.Until(target.Due) > urgentTime {
+		return false
+	}
+	content := node.content(target.Version)
+	return content == nil || !content.complete()
+}
+
 // latestStatus returns the newest status of the engine, and false if there is none
 // yet.
 func (node *Node) latestStatus() (Status, bool) {
@@ -303,6 +320,39 @@
 	return targets[len(targets)-1], true
 }
 
+// readAhead reads the manifest of the newest version and this agent's own pieces of it
+// while an older version is still being completed. It returns false, because there is
+// nothing to repeat at once.
+func (node *Node) readAhead(ctx context.Context) bool {
+	next, found := node.nextTarget()
+	if !found {
+		return false
+	}
+	targets := node.FleetView().Targets
+	newest := targets[len(targets)-1]
+	if next.Version == newest.Version {
+		return false
+	}
+	content := node.openContent(ctx, newest)
+	if content == nil || node.readsFromOrigin(next) {
+		return false
+	}
+	if own := ownMissing(content, node.distributionPlan(content, newest)); len(own) > 0 {
+		node.readOwnPieces(ctx, content, newest, own)
+	}
+	return false
+}
+
+// readsFromOrigin reports whether this agent still has to read pieces of the target
+// from the origin.
+func (node *Node) readsFromOrigin(target Target) bool {
+	content := node.content(target.Version)
+	if content == nil {
+		return true
+	}
+	return len(ownMissing(content, node.planFor(target))) > 0
+}
+
 // openContent returns the content of the target. If there is none yet, it fetches
 // the manifest and creates it. It returns nil if the manifest is not available.
 func (node *Node) openContent(ctx context.Context, target Target) *content {
@@ -313,17 +363,21 @@
 	if !ok {
 		return nil
 	}
-	content := newContent(manifest)
 	// The limiters must allow a burst of one piece, or no piece could be sent.
 	node.UploadLimiter.SetBurst(int(manifest.PieceBytes))
 	node.download.SetBurst(int(manifest.PieceBytes))
 	node.mutex.Lock()
 	defer node.mutex.Unlock()
+	if content := node.contents[target.Version]; content != nil {
+		return content
+	}
+	content := newContent(manifest)
 	node.contents[target.Version] = content
 	for version := range node.contents {
 		if version <= target.Version-keptVersions {
 			delete(node.contents, version)
 			delete(node.failedFetches, version)
+			delete(node.plans, version)
 		}
 	}
 	node.Logger.Info("version wanted", zap.String("model", target.Model), zap.Int("version", target.Version))
@@ -362,6 +416,24 @@
 	return Target{}, nil
 }
 
+// takesPart reports whether this agent has the version or will fetch it. It does not
+// if its engine has stopped, or if it goes on with a newer version, as an agent does
+// that has lost the pieces of the older one in a restart.
+func (node *Node) takesPart(version string) bool {
+	number, err := strconv.Atoi(version)
+	if err != nil {
+		return false
+	}
+	if content := node.content(number); content != nil && content.complete() {
+		return true
+	}
+	node.mutex.Lock()
+	isEngineLost := time.Since(node.lastStatusAt) > engineLossTime
+	node.mutex.Unlock()
+	next, found := node.nextTarget()
+	return found && !isEngineLost && number >= next.Version
+}
+
 // isWanted reports whether the content is that of the newest version or of the
 // next target.
 func (node *Node) isWanted(content *content) bool {
@@ -371,14 +443,14 @@
 	return found && (next.Version == version || targets[len(targets)-1].Version == version)
 }
 
-// planFor returns the plan of the fetch in progress. If there is none for the
-// target, it makes one from the platform's list of peers.
+// planFor returns the last plan for the target. If there is none, it makes one from
+// the platform's list of peers.
 func (node *Node) planFor(target Target) Plan {
 	node.mutex.Lock()
-	cached := node.cachedPlan
+	plan, isPlanned := node.plans[target.Version]
 	node.mutex.Unlock()
-	if cached.version == target.Version {
-		return cached.plan
+	if isPlanned {
+		return plan
 	}
 	return node.computePlan(target, node.FleetView().Peers)
 }
@@ -389,15 +461,42 @@
 	defer node.mutex.Unlock()
 	input := PlanInput{Self: node.Self, Peers: peers, FailedFetches: node.failedFetches[target.Version]}
 	plan := NewPlan(versionKey(target.Model, target.Version), max(1, target.Pieces), input)
-	node.cachedPlan = cachedPlan{plan: plan, version: target.Version}
+	node.plans[target.Version] = plan
 	return plan
 }
 
-// countFailedFetch records that a fetch of the version ended without all pieces.
-func (node *Node) countFailedFetch(version int) {
+// distributionPlan returns the plan by which the pieces of the target are read from the
+// origin and pushed. It is made once, so that the reader of a piece and those who push
+// it on follow the same plan.
+func (node *Node) distributionPlan(content *content, target Target) Plan {
+	node.mutex.Lock()
+	plan, isPlanned := node.plans[target.Version]
+	isFirst := node.failedFetches[target.Version] == 0 && !target.AnnouncedAt.IsZero()
+	node.mutex.Unlock()
+	if isPlanned {
+		return plan
+	}
+	peers := node.probePeers(content)
+	if isFirst {
+		peers = withoutFirstPieces(peers, len(content.manifest.Digests))
+	}
+	return node.computePlan(target, peers)
+}
+
+// dropPlan makes the next call of distributionPlan plan again.
+func (node *Node) dropPlan(version int) {
+	node.mutex.Lock()
+	defer node.mutex.Unlock()
+	delete(node.plans, version)
+}
+
+// recordFailedFetch records that a fetch of the version ended without all pieces. The
+// next one follows a new plan.
+func (node *Node) recordFailedFetch(version int) {
 	node.mutex.Lock()
 	defer node.mutex.Unlock()
 	node.failedFetches[version]++
+	delete(node.plans, version)
 }
 
 // markSuspect makes this agent avoid the peer until the given time.
--- a/lib/stagings/peers.go
+++ b/lib/stagings/peers.go
@@ -28,7 +28,7 @@
 	// fetched.
 	longPollTimeout = 250 * time.Millisecond
 	// longPollInterval is the interval between checks whether a version has become
-	// known, here or at the receiver of a push.
+	// known.
 	longPollInterval = 20 * time.Millisecond
 	// peerCallTimeout bounds a request to a peer. It covers the long poll and the
 	// transfer of the piece over a link of a few Mbit/s that is shared with the
@@ -155,8 +155,13 @@
 	}
 }
 
-// serveHeldPieces answers with the set of pieces of a version that this agent has.
+// serveHeldPieces answers with the set of pieces of a version that this agent has. An
+// agent that will not fetch the version says so, so that no other one waits for it.
 func (server *Server) serveHeldPieces(ctx *fasthttp.RequestCtx, model, version string) {
+	if !server.node.takesPart(version) {
+		ctx.SetStatusCode(http.StatusGone)
+		return
+	}
 	content := server.node.contentOf(model, version)
 	if content == nil {
 		ctx.SetStatusCode(http.StatusNotFound)
@@ -192,6 +197,10 @@
 }
 
 func (server *Server) servePiece(ctx *fasthttp.RequestCtx, model, version, piece string) {
+	if !server.node.takesPart(version) {
+		ctx.SetStatusCode(http.StatusGone)
+		return
+	}
 	content := server.waitForContent(model, version)
 	index, err := strconv.Atoi(piece)
 	if content == nil || err != nil {
--- a/lib/stagings/plan.go
+++ b/lib/stagings/plan.go
@@ -91,6 +91,21 @@
 	return plan
 }
 
+// withoutFirstPieces returns the peers without their pieces unless one has half of the
+// count pieces of the version. Agents plan a few hundred milliseconds apart. If the
+// first pieces that arrive meanwhile counted as held, the agents that plan last would
+// not push them on.
+func withoutFirstPieces(peers []Peer, count int) []Peer {
+	list := make([]Peer, 0, len(peers))
+	for _, peer := range peers {
+		if 2*peer.Pieces.Count() >= count {
+			return peers
+		}
+		list = append(list, Peer{Host: peer.Host, Pieces: weights.NewSet(count)})
+	}
+	return list
+}
+
 func groupByRegion(list []hosts.Host) map[string][]hosts.Host {
 	regions := map[string][]hosts.Host{}
 	for _, host := range list {
@@ -189,9 +204,10 @@
 			}
 		}
 	}
-	add(rotated(holders(plan.sameRegion, piece), piece)...)
+	offset := piece + hosts.Position(plan.key+"/sources", plan.self.Name, plan.agents)
+	add(rotated(holders(plan.sameRegion, piece), offset)...)
 	add(plan.regionalFetchers[plan.self.Region][piece])
-	add(rotated(holders(plan.otherRegions, piece), piece)...)
+	add(rotated(holders(plan.otherRegions, piece), offset)...)
 	add(plan.originReaders[piece])
 	if plan.originReaders[piece].Name != "" && !plan.mayReplaceReader(piece) {
 		return sources
@@ -199,6 +215,20 @@
 	return append(sources, Source{Origin: true})
 }
 
+// available returns the pieces that can be requested now: those that another agent
+// has and, if readers are replaced, those that this agent may read from the origin in
+// place of another.
+func (plan Plan) available(pieces []int, replaceReaders bool) []int {
+	var list []int
+	for _, piece := range pieces {
+		isHeld := plan.originReaders[piece].Name == ""
+		if isHeld || replaceReaders && !plan.IsOriginReader(piece) && plan.mayReplaceReader(piece) {
+			list = append(list, piece)
+		}
+	}
+	return list
+}
+
 // mayReplaceReader reports whether this agent may read the piece from the origin in
 // place of the responsible one.
 func (plan Plan) mayReplaceReader(piece int) bool {
@@ -216,12 +246,12 @@
 	return list
 }
 
-// rotated returns the list rotated by the number of the piece, so that the requests
-// for different pieces spread over the agents.
-func rotated(list []hosts.Host, piece int) []hosts.Host {
+// rotated returns the list rotated by the offset, so that requests for different pieces
+// and of different agents spread over the agents.
+func rotated(list []hosts.Host, offset int) []hosts.Host {
 	if len(list) == 0 {
 		return nil
 	}
-	offset := piece % len(list)
+	offset %= len(list)
 	return append(append([]hosts.Host{}, list[offset:]...), list[:offset]...)
 }
--- a/lib/stagings/probe.go
+++ b/lib/stagings/probe.go
@@ -21,7 +21,8 @@
 const probeTimeout = connectTimeout
 
 // probePeers asks all peers at the same time and returns those that answer, each
-// with the pieces of the content's version that it has.
+// with the pieces of the content's version that it has. It waits for all of them:
+// agents that leave out different peers would make different plans.
 func (node *Node) probePeers(content *content) []Peer {
 	listed := node.FleetView().Peers
 	answers := make([]*Peer, len(listed))
--- a/lib/stagings/push.go
+++ b/lib/stagings/push.go
@@ -22,8 +22,10 @@
 	// pushQueueSize limits the queued pushes. It leaves room for several versions.
 	pushQueueSize = 4096
 	// maxPushRetries is how many times a push is retried if the receiver does not
-	// know the version yet.
-	maxPushRetries = 4
+	// know the version yet, and pushRetryDelay the delay before each. Together they
+	// cover the time in which all agents learn of a version and read its manifest.
+	maxPushRetries = 10
+	pushRetryDelay = 150 * time.Millisecond
 )
 
 // pushTask is one piece to be pushed to one receiver.
@@ -80,8 +82,7 @@
 	case err == nil:
 	case errors.Is(err, errPending) && task.retries < maxPushRetries:
 		task.retries++
-		sleep(ctx, longPollInterval)
-		node.enqueuePush(task)
+		time.AfterFunc(pushRetryDelay, func() { node.enqueuePush(task) })
 	default:
 		node.Logger.Info("failed to push piece", zap.Int("piece", task.piece), zap.String("peer", task.receiver.Name), zap.Error(err))
 		node.markSuspect(task.receiver.Name, time.Now().Add(suspectTime))
@@ -98,13 +99,10 @@
 // acceptPush stores a piece that another agent pushed, and pushes it on if it is
 // new. It returns false if the piece does not match its digest.
 func (node *Node) acceptPush(content *content, piece int, body []byte) bool {
-	known, _ := content.get(piece)
-	if !content.put(piece, body) {
-		return false
-	}
-	if known == nil {
+	isValid, isNew := content.put(piece, body)
+	if isNew {
 		node.countPiece(sourcePush, len(body))
 		node.storePiece(context.Background(), content, piece)
 	}
-	return true
+	return isValid
 }
