Let requests wait while no server can take any

Cause: after a restart of all processes, or while all engines lack the due version, an entry estimated the wait from the starts of the last second, which were none, and refused whoever came. These were often callers on their only retry.

Change: while servers exist but none can take requests, up to 64 requests wait as long as they may, and a request that misses its target then waits on as a late one. In an overload, where servers are full, nothing changes.

--- a/lib/gateways/retries.go
+++ b/lib/gateways/retries.go
@@ -66,7 +66,7 @@
 // caller has an answer.
 func (request *request) forwardWithRetries(ctx context.Context) {
 	for connectFailures := 0; ; {
-		reservation, err := request.gateway.Queue.acquire(ctx, request.waiter())
+		reservation, err := request.acquire(ctx)
 		if err != nil {
 			request.endUnplaced(ctx, err)
 			return
@@ -118,6 +118,19 @@
 	}
 }
 
+// acquire returns a reservation for the request. A request that got none in time for
+// its target because no server can take requests at the moment goes on waiting as a
+// late one: its caller would otherwise come back to the same servers, with less time
+// left and without another retry.
+func (request *request) acquire(ctx context.Context) (*placements.Reservation, error) {
+	waiter := request.waiter()
+	reservation, err := request.gateway.Queue.acquire(ctx, waiter)
+	if !errors.As(err, &request.refusal) || !waiter.MayWaitLate() || !request.refusal.Candidates.IsStalled() {
+		return reservation, err
+	}
+	return request.gateway.Queue.acquire(ctx, request.waiter())
+}
+
 // endUnplaced ends a request that got no reservation because of err.
 func (request *request) endUnplaced(ctx context.Context, err error) {
 	var refusal *refusal
--- a/lib/placements/candidates.go
+++ b/lib/placements/candidates.go
@@ -69,6 +69,13 @@
 	return counts.Usable + counts.Closed + counts.Tried + counts.Outdated + counts.Full + counts.Slow
 }
 
+// IsStalled reports whether there are servers, but none can take requests at all, rather
+// than being full or slow: they have restarted, load a version or are suspended. The
+// wait for such servers does not depend on the number of requests that wait.
+func (counts CandidateCounts) IsStalled() bool {
+	return counts.Usable+counts.Full+counts.Slow == 0 && counts.Closed+counts.Outdated > 0
+}
+
 // exclusion returns what excludes the server for the request, and the predicted time
 // to its first event, zero for plain services.
 func (fleet *Fleet) exclusion(state ServerState, requirements Requirements, overcommit int, now time.Time) (exclusion, time.Duration) {
--- a/lib/placements/deadlines.go
+++ b/lib/placements/deadlines.go
@@ -26,6 +26,8 @@
 	Resumed bool
 	// Attempted is set for a request that was already sent to a server.
 	Attempted bool
+	// Refused is set for a request that got no reservation in time for its target.
+	Refused bool
 }
 
 // PlacementDeadline returns the time by which the request has to be placed. Late is
@@ -36,7 +38,7 @@
 		return earlier(now.Add(urgency.EventGap), urgency.Deadline), false
 	}
 	startBy = urgency.FirstArrivedAt.Add(fleet.MaxWait(service, urgency.FirstEventTarget))
-	if !urgency.Attempted && !startBy.Before(now) {
+	if !urgency.Attempted && !urgency.Refused && !startBy.Before(now) {
 		return earlier(startBy, urgency.Deadline), false
 	}
 	wait := min(maxLateWait, time.Duration(maxLateWaitShare*float64(urgency.Deadline.Sub(now))))
--- a/lib/placements/dispatcher.go
+++ b/lib/placements/dispatcher.go
@@ -17,6 +17,9 @@
 	minRetryAfter = 700 * time.Millisecond
 	// retryJitter is the fraction of the retry delay over which retries are spread.
 	retryJitter = 1.0
+	// maxStalledQueue is the number of requests that wait for servers none of which can
+	// take requests. The servers begin about as many for one entry as soon as they can.
+	maxStalledQueue = 64
 	// maxPlacementFailures is the number of waiters without a server after which one
 	// dispatch pass ends. Each report of an engine triggers a pass, and during overload
 	// an entry with 0.3 cores would spend most of its time comparing some dozen waiters
@@ -105,7 +108,7 @@
 			return Placed{Reservation: reservation}
 		}
 	}
-	wait := dispatcher.startRates[service].ExpectedWait(ahead, now)
+	wait := dispatcher.expectedWait(waiter.Requirements, ahead, now)
 	if now.Add(wait).After(waiter.StartBy) {
 		return dispatcher.newRefusal(waiter.Requirements, ahead, wait, now)
 	}
@@ -115,6 +118,16 @@
 	return Queued{Number: waiter.Number}
 }
 
+// expectedWait estimates how long a request waits with this many others ahead. While
+// no server can take requests, the rate of recent starts says nothing about the rate
+// after that, and up to maxStalledQueue requests wait as long as they may.
+func (dispatcher *Dispatcher) expectedWait(requirements Requirements, ahead int, now time.Time) time.Duration {
+	if ahead < maxStalledQueue && dispatcher.fleet.CountCandidates(requirements, overcommit(requirements), now).IsStalled() {
+		return 0
+	}
+	return dispatcher.startRates[requirements.Service].ExpectedWait(ahead, now)
+}
+
 // Refuse removes from the queue a request that was not placed by its StartBy, and
 // returns its refusal.
 func (dispatcher *Dispatcher) Refuse(waiter Waiter, number uint64, now time.Time) Refused {
--- a/lib/placements/queue.go
+++ b/lib/placements/queue.go
@@ -78,6 +78,12 @@
 	return count
 }
 
+// MayWaitLate reports whether a request that was not placed by its StartBy may wait on
+// as a late one. Requests for plain services have hardly more time than their target.
+func (waiter Waiter) MayWaitLate() bool {
+	return waiter.Requirements.Model != "" && !waiter.Late && !waiter.Requirements.Resumed
+}
+
 func (waiter Waiter) precedes(other Waiter) bool {
 	if waiter.Requirements.Resumed != other.Requirements.Resumed {
 		return waiter.Requirements.Resumed
