Keep restarted test hosts from losing their ports

Change: test hosts listen on ports below the range from which the kernel chooses. The test checks as much as before.

--- a/lib/transfers/fleet_test.go
+++ b/lib/transfers/fleet_test.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -25,8 +27,14 @@
 const (
 	testChunkBytes = 1 << 10
 	testWait       = 30 * time.Second
+	// The ports of test hosts lie below the range from which the kernel chooses.
+	firstTestPort = 20_000
+	lastTestPort  = 32_000
 )
 
+// testPorts counts the ports that hosts of this test process have tried.
+var testPorts atomic.Int64
+
 type (
 	// memoryOrigin serves weights from memory and can be switched off.
 	memoryOrigin struct {
@@ -104,7 +112,7 @@
 		memoryBytes:    1 << 20,
 	}
 	for index := range count {
-		control, chunk := listen(t, "127.0.0.1:0"), listen(t, "127.0.0.1:0")
+		control, chunk := listenOnTestPort(t), listenOnTestPort(t)
 		fleet.links, fleet.chunks = append(fleet.links, control), append(fleet.chunks, chunk)
 		fleet.hosts = append(fleet.hosts, hosts.Host{
 			Name:         fmt.Sprintf("host-%02d", index),
@@ -116,6 +124,21 @@
 	return fleet
 }
 
+// listenOnTestPort listens on a port below those that the kernel chooses itself. A host
+// that restarts listens on its ports again, and no listener on port 0 of another test
+// can have taken them meanwhile.
+func listenOnTestPort(t *testing.T) net.Listener {
+	t.Helper()
+	for range lastTestPort - firstTestPort {
+		port := firstTestPort + (os.Getpid()+int(testPorts.Add(1)))%(lastTestPort-firstTestPort)
+		if listener, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(port))); err == nil {
+			return listener
+		}
+	}
+	t.Fatal("no free test port")
+	return nil
+}
+
 func listen(t *testing.T, address string) net.Listener {
 	t.Helper()
 	listener, err := net.Listen("tcp", address)
