Offer a piece again to a receiver that is taking others

Cause: a receiver that was busy for 0.3 s counted as slow, and its pieces were left to its own requests, also when it was just receiving at the full rate of its link.

Change: such a push goes back to the queue. The wait of an offer is 0.1 s.

--- a/lib/stagings/peers.go
+++ b/lib/stagings/peers.go
@@ -41,7 +41,7 @@
 	// peers fill a link that has become narrow for seconds, and requests for the engine
 	// wait behind their pieces.
 	maxReceivedPushes = 2
-	offerTimeout      = 300 * time.Millisecond
+	offerTimeout      = 100 * time.Millisecond
 	// receiveTimeout is how long an accepted offer keeps its place if no piece follows.
 	receiveTimeout = 500 * time.Millisecond
 	// maxPeerConnections limits the connections to one peer.
@@ -57,9 +57,13 @@
 // offerAccepted is the answer to the offer of a piece that the peer lacks.
 const offerAccepted = "send"
 
-// errPending is returned when a peer does not have a piece or a version yet but
-// is expected to get it soon.
-var errPending = errors.New("the peer is still fetching the piece")
+var (
+	// errPending is returned when a peer does not have a piece or a version yet but
+	// is expected to get it soon.
+	errPending = errors.New("the peer is still fetching the piece")
+	// errBusy is returned when a peer is taking as many pieces as it accepts.
+	errBusy = errors.New("the peer is taking other pieces")
+)
 
 type (
 	// Server serves this agent's manifests and pieces to its peers and accepts the
@@ -123,6 +127,9 @@
 		// A peer that does not know the version yet is expected to know it soon.
 		return nil, errPending
 	}
+	if response.StatusCode() == http.StatusTooManyRequests {
+		return nil, errBusy
+	}
 	if response.StatusCode() != http.StatusOK {
 		return nil, fmt.Errorf("peer %s: status %d", address, response.StatusCode())
 	}
@@ -254,7 +261,7 @@
 	select {
 	case server.node.receiving <- struct{}{}:
 	case <-time.After(offerTimeout):
-		ctx.SetStatusCode(http.StatusServiceUnavailable)
+		ctx.SetStatusCode(http.StatusTooManyRequests)
 		return
 	}
 	if body, _ := content.get(index); body != nil {
--- a/lib/stagings/push.go
+++ b/lib/stagings/push.go
@@ -26,6 +26,9 @@
 	// cover the time in which all agents learn of a version and read its manifest.
 	maxPushRetries = 10
 	pushRetryDelay = 150 * time.Millisecond
+	// maxBusyRetries is how many times a push is retried if the receiver is taking other
+	// pieces. They cover the transfer of a copy over its link.
+	maxBusyRetries = 30
 	// slowReceiverTime is how long no piece is pushed to a receiver that did not take one
 	// in time: the pushes of all agents would fill its link for seconds, and requests for
 	// its engine wait behind them.
@@ -79,7 +82,7 @@
 	err := node.offerAndSend(ctx, task)
 	switch {
 	case err == nil:
-	case errors.Is(err, errPending) && task.retries < maxPushRetries:
+	case errors.Is(err, errPending) && task.retries < maxPushRetries, errors.Is(err, errBusy) && task.retries < maxBusyRetries:
 		task.retries++
 		time.AfterFunc(pushRetryDelay, func() { node.enqueuePush(task) })
 	default:
