--- a/lib/stagings/fetch.go
+++ b/lib/stagings/fetch.go
@@ -144,7 +144,8 @@
 
 // fetchMissing collects the missing pieces: first those that are still staged at
 // the engine, then those that this agent reads from the origin, those that others
-// push, and whatever is missing after that. It returns true if the content is complete or the caller should plan again at once.
+// push, and whatever is missing after that. It returns true if the content is complete
+// or the caller should plan again at once.
 func (node *Node) fetchMissing(ctx context.Context, content *content, target Target, status Status) bool {
 	began := time.Now()
 	if target.AnnouncedAt.IsZero() || status.Versions[target.Model] == target.Version || len(status.Versions) == 0 {
