--- a/cmd/agent/routed/routed.go
+++ b/cmd/agent/routed/routed.go
@@ -90,12 +90,11 @@
 	}
 	logger = logger.With(zap.String("engine", settings.BackendServerAddress))
 	agent := &agent{
-		settings: settings,
-		logger:   logger,
-		metrics:  metrics.New("firford_agent"),
-
-		serversWanted: make(chan struct{}, 1),
+		settings:      settings,
+		logger:        logger,
+		metrics:       metrics.New("firford_agent"),
 		logBuffer:     logBuffer,
+		serversWanted: make(chan struct{}, 1),
 		self: hosts.Host{
 			Name: settings.BackendServerAddress, Role: hosts.RoleAgent, ChunkAddress: settings.PeerAddress(),
 			DataCentre: settings.DataCentre, Region: settings.Region,
--- a/lib/placements/fleet.go
+++ b/lib/placements/fleet.go
@@ -47,10 +47,10 @@
 )
 
 type (
-	// Requirements describe what a request needs of a server. Tried lists the servers that the request was already sent to.
-	// Tokens is the length of its prompt. FirstEventBy is the deadline of its first
-	// event; Late is set if that can no longer be met. Resumed is set for a stream of
-	// which the caller already has events.
+	// Requirements describe what a request needs of a server. Tried lists the servers
+	// that the request was already sent to. Tokens is the length of its prompt.
+	// FirstEventBy is the deadline of its first event; Late is set if that can no longer
+	// be met. Resumed is set for a stream of which the caller already has events.
 	Requirements struct {
 		Service      string
 		Model        string
