--- a/lib/gateways/gateways_test.go
+++ b/lib/gateways/gateways_test.go
@@ -286,6 +286,9 @@
 		accepted, err := listener.Accept()
 		convey.So(err, convey.ShouldBeNil)
 		defer func() { _ = accepted.Close() }()
+		// The kernel may grow the server's buffer until it holds all bytes, which are then
+		// no longer queued on this side.
+		convey.So(accepted.(*net.TCPConn).SetReadBuffer(4<<10), convey.ShouldBeNil)
 		_ = conn.SetWriteDeadline(time.Now().Add(200 * time.Millisecond))
 		written, err := conn.Write(make([]byte, 64<<20))
 		convey.So(err, convey.ShouldNotBeNil) // The server reads nothing, so the queues fill.
