Expose single values before histograms

The collector of the users keeps the first 4 KB of each scrape.

Gauges come first now, then counters, then the rest, and the help texts go, which only repeat names. TestSingleValuesPrecedeHistograms fails without the order.

--- a/lib/metrics/metrics.go
+++ b/lib/metrics/metrics.go
@@ -28,7 +28,7 @@
 // combination in memory until it ends.
 func New(prefix string) *Metrics {
 	registry := prometheus.NewRegistry()
-	reporter := tallyprometheus.NewReporter(tallyprometheus.Options{Registerer: registry, Gatherer: registry})
+	reporter := tallyprometheus.NewReporter(tallyprometheus.Options{Registerer: registry, Gatherer: newGatherer(registry)})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:                 prefix,
 		CachedReporter:         reporter,
