Log which servers an entry keeps in use though they are not listed

Neither logs nor metrics told that an entry goes on with a server which is missing from the list, why it drops one, how long its view was out of date, or how late it noticed that the store answers again.

'server missing', 'server listed again' and a reason of 'server gone'; 'store regained' has the length of the outage, the failed calls and the time since the last of them began; the line of a request tells whether a server of it was unlisted and the age of the list where that is over 3 s, and is then never sampled out; a counter of attempts at unlisted servers. No decision changes. The new tests fail without the fields.

--- a/cmd/entry/routed/routed.go
+++ b/cmd/entry/routed/routed.go
@@ -73,7 +73,9 @@
 	agents        atomic.Pointer[[]netip.AddrPort]
 	loadListener  *loads.Listener
 	serversListed atomic.Bool
-	draining      atomic.Bool
+	// serversConfirmedAt is when the list of servers was last known to be current.
+	serversConfirmedAt atomic.Pointer[time.Time]
+	draining           atomic.Bool
 }
 
 // Run runs an entry until the context ends. It then drains the entry and waits for
@@ -99,6 +101,7 @@
 		Decode: adapter.DecodeDesiredState, RoutesChanged: entry.applyRoutes, VersionAnnounced: entry.announceVersions, Logger: logger, Scope: entry.metrics.Scope,
 	})
 	entry.agents.Store(&[]netip.AddrPort{})
+	entry.confirmServerList()
 	entry.gateway = gateways.New(gateways.Dependencies{
 		Dialect: adapter.Dialect{},
 		Queue:   entry.queue,
@@ -106,8 +109,9 @@
 		VersionDeadline: func(model string, version int) (time.Time, bool) {
 			return entry.follower.Targets().ReplacementDue(model, version)
 		},
-		Logger: logger,
-		Scope:  entry.metrics.Scope,
+		ServersConfirmedAt: func() time.Time { return *entry.serversConfirmedAt.Load() },
+		Logger:             logger,
+		Scope:              entry.metrics.Scope,
 	})
 	defer func() { _ = entry.metrics.Close() }()
 	return entry.run(ctx)
@@ -186,10 +190,15 @@
 func (entry *entry) followServers(ctx context.Context) {
 	platform.Watcher{
 		Feed: entry.store, Table: adapter.ServerTable, PollWait: serverPollWait, PollPause: platform.FixedPause(serverPollPause),
-		Logger: entry.logger, Scope: entry.metrics.Scope, OnUpdate: entry.applyServerList,
+		Logger: entry.logger, Scope: entry.metrics.Scope, OnUpdate: entry.applyServerList, OnAnswer: entry.confirmServerList,
 	}.Run(ctx)
 }
 
+func (entry *entry) confirmServerList() {
+	now := time.Now()
+	entry.serversConfirmedAt.Store(&now)
+}
+
 // applyRoutes updates the fleet with the engine profiles of a new configuration.
 func (entry *entry) applyRoutes(table routes.Table) {
 	entry.queue.UpdateFleet(func(fleet *placements.Fleet, _ time.Time) { fleet.SetEngineProfiles(engineProfiles(table)) })
@@ -236,17 +245,28 @@
 	entry.logger.Debug("servers listed", zap.Int("servers", len(servers)), zap.Int64("revision", view.Revision))
 }
 
-// logServerChanges logs the servers that joined, are draining or are gone.
+// logServerChanges logs what changed at the servers.
 func (entry *entry) logServerChanges(changes []placements.Change) {
 	for _, change := range changes {
-		event := "server joined"
+		fields := []zap.Field{
+			zap.String("server", change.Server.ID), zap.String("address", change.Server.Address), zap.String("service", change.Server.Service),
+		}
 		switch change.Kind {
+		case placements.Joined:
+			entry.logger.Info("server joined", fields...)
 		case placements.Draining:
-			event = "server draining"
+			entry.logger.Info("server draining", fields...)
+		case placements.Missing:
+			entry.logger.Info("server missing", append(fields, zap.Duration("kept_for", time.Until(change.KeptUntil)))...)
+		case placements.Returned:
+			entry.logger.Info("server listed again", fields...)
 		case placements.Removed:
-			event = "server gone"
+			entry.logger.Info("server gone", append(fields, zap.String("reason", "not listed"))...)
+		case placements.Expired:
+			entry.logger.Info("server gone", append(fields, zap.String("reason", "not listed again in time"))...)
+		default:
+			entry.logger.Error("unknown change of a server", append(fields, zap.Int("kind", int(change.Kind)))...)
 		}
-		entry.logger.Info(event, zap.String("server", change.Server.ID), zap.String("address", change.Server.Address), zap.String("service", change.Server.Service))
 	}
 }
 
--- a/lib/gateways/fakes_test.go
+++ b/lib/gateways/fakes_test.go
@@ -192,8 +192,9 @@
 	table := routes.New(configuration())
 	gateway := New(Dependencies{
 		Dialect: testDialect{}, Queue: queue, Table: func() routes.Table { return table },
-		VersionDeadline: func(string, int) (time.Time, bool) { return time.Time{}, false },
-		Logger:          zap.NewNop(), Scope: tally.NoopScope,
+		VersionDeadline:    func(string, int) (time.Time, bool) { return time.Time{}, false },
+		ServersConfirmedAt: time.Now,
+		Logger:             zap.NewNop(), Scope: tally.NoopScope,
 	})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/lib/gateways/gateway.go
+++ b/lib/gateways/gateway.go
@@ -44,15 +44,16 @@
 
 type (
 	// Dependencies are what a gateway needs. VersionDeadline returns until when a
-	// version of a model may begin requests, or false if it has no such
-	// limit.
+	// version of a model may begin requests, or false if it has no such limit.
+	// ServersConfirmedAt returns when the list of servers was last known to be current.
 	Dependencies struct {
-		Dialect         Dialect
-		Queue           *AdmissionQueue
-		Table           func() routes.Table
-		VersionDeadline func(model string, version int) (time.Time, bool)
-		Logger          *zap.Logger
-		Scope           tally.Scope
+		Dialect            Dialect
+		Queue              *AdmissionQueue
+		Table              func() routes.Table
+		VersionDeadline    func(model string, version int) (time.Time, bool)
+		ServersConfirmedAt func() time.Time
+		Logger             *zap.Logger
+		Scope              tally.Scope
 	}
 
 	// Gateway is an HTTP server that forwards the requests of callers to backend
@@ -172,6 +173,9 @@
 	// last answer began, and predictedDelay the predicted time between the two.
 	placedAt, answerBeganAt time.Time
 	predictedDelay          time.Duration
+	// usesUnlistedServer is set if the request got a reservation at a server that is
+	// missing from the platform's list.
+	usesUnlistedServer bool
 	// refusal states why the request got no reservation, nil if it was never refused.
 	refusal *refusal
 	// streaming is set once the head of a streamed answer was sent to the caller.
--- a/lib/gateways/metrics.go
+++ b/lib/gateways/metrics.go
@@ -66,6 +66,12 @@
 	metrics.scope.Tagged(map[string]string{"outcome": outcomeLabel(outcome)}).Counter("attempts").Inc(1)
 }
 
+// countUnlistedAttempt counts a request that was placed on a server which is missing
+// from the platform's list.
+func (metrics gatewayMetrics) countUnlistedAttempt() {
+	metrics.scope.Counter("unlisted_attempts").Inc(1)
+}
+
 func outcomeLabel(outcome attemptResult) string {
 	switch outcome.(type) {
 	case delivered:
--- a/lib/gateways/reasons_test.go
+++ b/lib/gateways/reasons_test.go
@@ -153,3 +153,27 @@
 		})
 	})
 }
+
+// Guards against a request at a server that had left the list, of which the log tells
+// neither that the server was missing nor how old the list was.
+func TestRequestsToUnlistedServersAreLogged(t *testing.T) {
+	convey.Convey("Given a server that is missing from the list after an outage of the store", t, func() {
+		const requests = 3 * routineLineBurst
+		fixture := newGatewayFixture(t, requests, newScriptedServer(t, answer(http.StatusOK, signedHeader, "slip")))
+		scope := tally.NewTestScope("", nil)
+		fixture.gateway.metrics = newGatewayMetrics(scope)
+		core, lines := observer.New(zap.InfoLevel)
+		fixture.gateway.Logger = zap.New(core)
+		fixture.gateway.ServersConfirmedAt = func() time.Time { return time.Now().Add(-time.Minute) }
+		fixture.queue.UpdateFleet(func(fleet *placements.Fleet, now time.Time) { fleet.UpdateServers(nil, now, now) })
+		for range requests {
+			fixture.post(t, "/again/", "")
+		}
+		convey.Convey("Then the line of each request says so", func() {
+			ended := lines.FilterMessage(eventEnded).FilterField(zap.Bool("unlisted", true))
+			convey.So(ended.Len(), convey.ShouldEqual, requests)
+			convey.So(ended.All()[0].ContextMap()["list_age"], convey.ShouldBeGreaterThanOrEqualTo, time.Minute)
+			convey.So(scope.Snapshot().Counters()["unlisted_attempts+"].Value(), convey.ShouldEqual, requests)
+		})
+	})
+}
--- a/lib/gateways/request_log.go
+++ b/lib/gateways/request_log.go
@@ -19,6 +19,9 @@
 	routineLinesPerS = 40
 	// routineLineBurst allows a short burst above that rate.
 	routineLineBurst = 80
+	// minLoggedListAge is the age from which a list of servers is logged with a request.
+	// A list that is confirmed as usual is younger.
+	minLoggedListAge = 3 * time.Second
 
 	eventEnded       = "request ended"
 	eventNotReached  = "server not reached"
@@ -41,10 +44,10 @@
 }
 
 // isRoutine reports whether the first server answered the request in time and
-// without an error.
+// without an error, and was listed.
 func (request *request) isRoutine(status int) bool {
 	inTime := !request.answerBeganAt.After(request.firstArrivedAt.Add(request.target()))
-	return status < http.StatusBadRequest && len(request.triedServers) == 1 && inTime
+	return status < http.StatusBadRequest && len(request.triedServers) == 1 && inTime && !request.usesUnlistedServer
 }
 
 // recordOwnEnd counts and logs a request that ended without a server's answer. The
@@ -91,6 +94,12 @@
 	if request.predictedDelay > 0 {
 		fields = append(fields, zap.Duration("predicted", request.predictedDelay))
 	}
+	if request.usesUnlistedServer {
+		fields = append(fields, zap.Bool("unlisted", true))
+	}
+	if age := time.Since(request.gateway.ServersConfirmedAt()); age >= minLoggedListAge {
+		fields = append(fields, zap.Duration("list_age", age))
+	}
 	if !request.answerBeganAt.IsZero() {
 		fields = append(fields, zap.Duration("answered_after", request.answerBeganAt.Sub(request.arrivedAt)))
 	}
--- a/lib/gateways/retries.go
+++ b/lib/gateways/retries.go
@@ -78,6 +78,10 @@
 		server := reservation.Server
 		request.placedAt = time.Now()
 		request.predictedDelay = reservation.Predicted
+		if reservation.Unlisted {
+			request.usesUnlistedServer = true
+			request.gateway.metrics.countUnlistedAttempt()
+		}
 		request.gateway.metrics.placementWait.RecordDuration(request.placedAt.Sub(request.arrivedAt))
 		request.triedServers = append(request.triedServers, server.ID)
 		outcome := request.sendTo(ctx, reservation)
--- a/lib/placements/dispatcher.go
+++ b/lib/placements/dispatcher.go
@@ -40,13 +40,15 @@
 	}
 
 	// Reservation is the capacity of a server that is reserved for one request.
-	// Predicted is the expected time to its first event, zero if unknown. Each
-	// reservation has to be ended with Release.
+	// Predicted is the expected time to its first event, zero if unknown. Unlisted is set
+	// if the server is missing from the platform's list. Each reservation has to be ended
+	// with Release.
 	Reservation struct {
 		Server    Server
 		Number    uint64
 		Tokens    int
 		Predicted time.Duration
+		Unlisted  bool
 		Answered  bool
 	}
 
@@ -162,7 +164,9 @@
 		return nil
 	}
 	dispatcher.lastNumber++
-	reservation := &Reservation{Server: choice.Server, Number: dispatcher.lastNumber, Tokens: requirements.Tokens, Predicted: choice.Predicted}
+	reservation := &Reservation{
+		Server: choice.Server, Number: dispatcher.lastNumber, Tokens: requirements.Tokens, Predicted: choice.Predicted, Unlisted: choice.Unlisted,
+	}
 	dispatcher.fleet.RecordStart(choice.Server.ID, requirements.Tokens)
 	dispatcher.startRates[requirements.Service] = dispatcher.startRates[requirements.Service].WithStart(now)
 	return reservation
--- a/lib/placements/fleet.go
+++ b/lib/placements/fleet.go
@@ -62,10 +62,12 @@
 	}
 
 	// Choice is a server chosen for a request. Predicted is the expected time to its
-	// first event, zero if unknown.
+	// first event, zero if unknown. Unlisted is set for a server that is missing from
+	// the platform's list.
 	Choice struct {
 		Server    Server
 		Predicted time.Duration
+		Unlisted  bool
 	}
 
 	// candidate is a server that can take a request, with the predicted time to its first
@@ -78,10 +80,11 @@
 	// ChangeKind is the kind of a change to a server.
 	ChangeKind int
 
-	// Change is a server that joined the fleet, started to drain or was removed.
+	// Change is a change to a server. KeptUntil is set for missing servers.
 	Change struct {
-		Server Server
-		Kind   ChangeKind
+		Server    Server
+		Kind      ChangeKind
+		KeptUntil time.Time
 	}
 
 	// Fleet is what an entry knows of all backend servers. It is not safe for
@@ -105,8 +108,15 @@
 	Joined ChangeKind = iota
 	// Draining servers take no new requests.
 	Draining
+	// Missing servers are no longer listed, but perhaps only because the store was
+	// unavailable. They stay in use until Change.KeptUntil.
+	Missing
+	// Returned servers were missing and are listed again.
+	Returned
 	// Removed servers are no longer listed.
 	Removed
+	// Expired servers were missing and are not listed again in time.
+	Expired
 )
 
 // NewFleet returns the fleet of an entry in the data centre.
@@ -136,6 +146,8 @@
 			changes = append(changes, Change{Server: server, Kind: Joined})
 		case server.Draining && !known.Server.Draining:
 			changes = append(changes, Change{Server: server, Kind: Draining})
+		case fleet.isMissing(server.ID):
+			changes = append(changes, Change{Server: server, Kind: Returned})
 		}
 		delete(fleet.removeAt, server.ID)
 		fleet.servers[server.ID] = fleet.servers[server.ID].WithServer(server)
@@ -146,16 +158,26 @@
 		}
 		keepUntil := recoveredAt.Add(missingServerGrace)
 		if now.Before(keepUntil) && !state.Server.Draining && !addresses[state.Server.Address] {
+			if !fleet.isMissing(id) {
+				changes = append(changes, Change{Server: state.Server, Kind: Missing, KeptUntil: keepUntil})
+			}
 			fleet.removeAt[id] = keepUntil
 			continue
 		}
 		changes = append(changes, Change{Server: state.Server, Kind: Removed})
+		delete(fleet.removeAt, id)
 		delete(fleet.servers, id)
 	}
 	fleet.rebuildServiceIndex()
 	return changes
 }
 
+// isMissing reports whether the server is missing from the platform's list.
+func (fleet *Fleet) isMissing(id string) bool {
+	_, isMissing := fleet.removeAt[id]
+	return isMissing
+}
+
 // CurrentServers returns the servers without those whose address a newer one has. The
 // entry of a server that was lost stays listed until its lease ends, while the server
 // that was started in its place is listed already.
@@ -188,7 +210,7 @@
 		if now.Before(keepUntil) {
 			continue
 		}
-		changes = append(changes, Change{Server: fleet.servers[id].Server, Kind: Removed})
+		changes = append(changes, Change{Server: fleet.servers[id].Server, Kind: Expired})
 		delete(fleet.removeAt, id)
 		delete(fleet.servers, id)
 		fleet.rebuildServiceIndex()
@@ -282,6 +304,7 @@
 		}
 		if !found || cost < bestCost {
 			best, bestCost, found = Choice{Server: state.Server.WithVersions(state.versions(now)), Predicted: predicted}, cost, true
+			best.Unlisted = fleet.isMissing(state.Server.ID)
 		}
 	}
 	return best, found
--- a/lib/platform/watcher.go
+++ b/lib/platform/watcher.go
@@ -68,16 +68,22 @@
 		Scope tally.Scope
 		// OnUpdate is called with each new view, from one goroutine.
 		OnUpdate func(View)
+		// OnAnswer is called after each answer of the store, when the view is current.
+		// It may be nil.
+		OnAnswer func()
 	}
 
 	// watcherState is the state of a running watcher. hasView is set while the view can
-	// be brought up to date by changes alone.
+	// be brought up to date by changes alone. failedCalls counts the calls that failed in
+	// a row, the first of which began at failingSince and the last at failedAt.
 	watcherState struct {
 		Watcher
-		view      View
-		hasView   bool
-		isFailing bool
-		backoff   *backoff.ExponentialBackOff
+		view         View
+		hasView      bool
+		failedCalls  int
+		failingSince time.Time
+		failedAt     time.Time
+		backoff      *backoff.ExponentialBackOff
 	}
 )
 
@@ -98,6 +104,7 @@
 
 // poll makes one call to the store and pauses afterwards.
 func (state *watcherState) poll(ctx context.Context) {
+	startedAt := time.Now()
 	var err error
 	if state.hasView {
 		err = state.readChanges(ctx)
@@ -118,7 +125,7 @@
 		pause(ctx, time.Duration(rand.Int64N(int64(minBackoff))))
 		return
 	}
-	state.recordFailure(err)
+	state.recordFailure(startedAt, err)
 	pause(ctx, state.backoff.NextBackOff())
 }
 
@@ -142,11 +149,15 @@
 	}
 }
 
-func (state *watcherState) recordFailure(err error) {
-	if !state.isFailing {
+func (state *watcherState) isFailing() bool { return state.failedCalls > 0 }
+
+func (state *watcherState) recordFailure(startedAt time.Time, err error) {
+	if !state.isFailing() {
 		state.Logger.Warn("store lost", zap.String("table", state.Table), zap.Int64("revision", state.view.Revision), zap.Error(err))
+		state.failingSince = startedAt
 	}
-	state.isFailing = true
+	state.failedCalls++
+	state.failedAt = startedAt
 }
 
 func (state *watcherState) recordSuccess() {
@@ -154,9 +165,12 @@
 	scope := state.Scope.Tagged(map[string]string{"table": state.Table})
 	scope.Gauge("table_revision").Update(float64(state.view.Revision))
 	scope.Gauge("table_answered_at_seconds").Update(float64(time.Now().UnixMilli()) / millisecondsPerSecond)
-	if state.isFailing {
+	if state.isFailing() {
 		state.publish(state.view)
 	}
+	if state.OnAnswer != nil {
+		state.OnAnswer()
+	}
 }
 
 func (state *watcherState) readSnapshot(ctx context.Context) error {
@@ -179,7 +193,7 @@
 
 func (state *watcherState) readChanges(ctx context.Context) error {
 	wait := state.PollWait
-	if state.isFailing {
+	if state.isFailing() {
 		// A call without a wait detects soonest that the store has recovered.
 		wait = 0
 	}
@@ -197,10 +211,12 @@
 
 // publish makes the view the current one and reports it.
 func (state *watcherState) publish(view View) {
-	if state.isFailing {
-		state.isFailing = false
+	if state.isFailing() {
 		view.RecoveredAt = time.Now()
-		state.Logger.Info("store regained", zap.String("table", state.Table), zap.Int64("revision", view.Revision))
+		state.Logger.Info("store regained", zap.String("table", state.Table), zap.Int64("revision", view.Revision),
+			zap.Duration("lost_for", view.RecoveredAt.Sub(state.failingSince)), zap.Int("failed_calls", state.failedCalls),
+			zap.Duration("after_last_failed_call", view.RecoveredAt.Sub(state.failedAt)))
+		state.failedCalls = 0
 	}
 	state.view = view
 	state.OnUpdate(view)
--- a/lib/platform/watcher_test.go
+++ b/lib/platform/watcher_test.go
@@ -11,6 +11,7 @@
 	"github.com/smartystreets/goconvey/convey"
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 )
 
 // failingFeed is a feed that fails until isRecovered is set. It records the wait of
@@ -97,3 +98,33 @@
 		convey.So(after, convey.ShouldEqual, 2)
 	})
 }
+
+// Guards against a recovery whose log line does not tell how long the view was out of
+// date, or how long the watcher took to notice that the store answers again.
+func TestRecoveryIsLogged(t *testing.T) {
+	feed := &failingFeed{}
+	core, lines := observer.New(zap.InfoLevel)
+	failedCalls := 0
+	synctest.Test(t, func(*testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go Watcher{
+			Feed: feed, Table: "servers", PollWait: time.Second, PollPause: FixedPause(0), Logger: zap.New(core), Scope: tally.NoopScope,
+			OnUpdate: func(View) {},
+		}.Run(ctx)
+		time.Sleep(10 * time.Second)
+		feed.mutex.Lock()
+		feed.isRecovered = true
+		failedCalls = len(feed.waits)
+		feed.mutex.Unlock()
+		time.Sleep(2 * maxBackoff)
+	})
+	convey.Convey("Given a store that was unavailable for ten seconds", t, func() {
+		regained := lines.FilterMessage("store regained")
+		convey.So(regained.Len(), convey.ShouldEqual, 1)
+		fields := regained.All()[0].ContextMap()
+		convey.So(fields["lost_for"], convey.ShouldBeBetween, 10*time.Second, 12*time.Second)
+		convey.So(fields["failed_calls"], convey.ShouldEqual, failedCalls)
+		convey.So(fields["after_last_failed_call"], convey.ShouldBeBetween, 0, 2*maxBackoff)
+	})
+}
--- a/lib/timelines/causes.go
+++ b/lib/timelines/causes.go
@@ -45,7 +45,7 @@
 // request.
 func requestCauses(request, others []Line) []string {
 	last := request[len(request)-1]
-	causes := attemptCauses(request, others)
+	causes := append(listCauses(last), attemptCauses(request, others)...)
 	if last.Event != eventRequestEnded {
 		return append(causes, "the log ends before the request does: the process stopped, or lines are missing")
 	}
@@ -61,6 +61,19 @@
 	return causes
 }
 
+// listCauses tells what was wrong with the list of servers from which the request's
+// servers were chosen.
+func listCauses(line Line) []string {
+	var causes []string
+	if line.Fields["unlisted"] == "true" {
+		causes = append(causes, "a server that it was sent to was missing from the platform's list: it was kept after an outage of the store")
+	}
+	if age := seconds(line, "list_age"); age > 0 {
+		causes = append(causes, fmt.Sprintf("the list of servers was last confirmed %s before", roundToMS(age)))
+	}
+	return causes
+}
+
 // attemptCauses explains each failed attempt to run the request on a server.
 func attemptCauses(request, others []Line) []string {
 	var causes []string
