--- a/cmd/entry/routed/routed.go
+++ b/cmd/entry/routed/routed.go
@@ -66,7 +66,7 @@
 	logger        *zap.Logger
 	metrics       *metrics.Metrics
 	logBuffer     *logs.Buffer
-	store         *adapter.Store
+	store         platform.Feed
 	queue         *gateways.AdmissionQueue
 	gateway       *gateways.Gateway
 	follower      *directives.Follower
