Count the grace for missing servers from when the store was last unavailable

Cause: after an entry had lost the store, it kept servers that were missing from the list for 1.8 s, since servers lose their entries in an outage of the store and write them again within 2 s. It counted from the moment at which it read the list again, which is up to 2.7 s after the store could be reached. And it did so after a partition of its own too, behind which servers have really left. So it used them until 4.5 s after the end of the partition, and has to know after 3 s. Class of fault: a time limit that starts when an event is noticed, while others count from the event.

Not taken: telling a partition from an outage by what other processes say, since agents call the store every four seconds only and plain servers have none beside them.

Change: the watcher tells when the last unanswered call began. The store was unavailable then, so its return is not earlier, and what is missing is kept until 2.8 s after that, or until 0.2 s before the time after which the platform counts a process as connected again (setting reconnect_time, filled in from the platform's bound). The deadline is checked at each placement instead of every 0.2 s.

--- a/cmd/entry/routed/recovery_test.go
+++ b/cmd/entry/routed/recovery_test.go
@@ -112,7 +112,7 @@
 // connections.
 func newTestEntry(feed platform.Feed) *entry {
 	entry := &entry{
-		settings: processes.RoutedEntry{Routed: processes.Routed{DataCentre: "nairobi"}},
+		settings: processes.RoutedEntry{Routed: processes.Routed{DataCentre: "nairobi"}, ReconnectTime: reconnectWindow},
 		logger:   zap.NewNop(), metrics: &metrics.Metrics{Scope: tally.NoopScope}, store: feed,
 		queue:    gateways.NewAdmissionQueue(placements.NewFleet("nairobi"), func(gateways.RequestNotice) {}),
 		follower: directives.New(directives.Dependencies{Logger: zap.NewNop(), Scope: tally.NoopScope}),
--- a/cmd/entry/routed/routed.go
+++ b/cmd/entry/routed/routed.go
@@ -49,8 +49,15 @@
 	// earlierVersionTimeout is the time allowed for a version that was announced before
 	// the process started, at an unknown time.
 	earlierVersionTimeout = 3 * time.Second
-	// expireInterval is the interval between checks for servers that the platform no
-	// longer lists and whose grace period has passed.
+	// maxMissingServerGrace is how long after the store was last unavailable a server
+	// stays in use that is missing from the list. Servers that are still running are
+	// listed again about 2 s after the store's return, which is noticed somewhat later.
+	maxMissingServerGrace = 2800 * time.Millisecond
+	// reconnectMargin is the part of the reconnect time that is left for the requests
+	// that were placed last.
+	reconnectMargin = 200 * time.Millisecond
+	// expireInterval is the interval between checks for missing servers that are no
+	// longer in use.
 	expireInterval = 200 * time.Millisecond
 	// drainAcceptTime is how long a draining entry still accepts connections. It
 	// covers two readiness probes of the balancer.
@@ -227,7 +234,7 @@
 	view.LogDecodeErrors(entry.logger, decodeErrors)
 	var changes []placements.Change
 	entry.queue.UpdateFleet(func(fleet *placements.Fleet, now time.Time) {
-		changes = fleet.UpdateServers(servers, view.RecoveredAt, now)
+		changes = fleet.UpdateServers(servers, entry.keepMissingUntil(view), now)
 	})
 	entry.logServerChanges(changes)
 	known := map[string]bool{}
@@ -245,6 +252,15 @@
 	entry.logger.Debug("servers listed", zap.Int("servers", len(servers)), zap.Int64("revision", view.Revision))
 }
 
+// keepMissingUntil returns until when servers that are missing from the view stay in
+// use. The process cannot tell an outage of the store, in which servers lose their
+// entries, from a partition of its own, behind which they have left. The time counts
+// from when the store was last unavailable, and not from when an answer of the store
+// arrived: whatever was missing then must be out of use when the reconnect time is over.
+func (entry *entry) keepMissingUntil(view platform.View) time.Time {
+	return view.UnavailableAt.Add(min(maxMissingServerGrace, entry.settings.ReconnectTime-reconnectMargin))
+}
+
 // logServerChanges logs what changed at the servers.
 func (entry *entry) logServerChanges(changes []placements.Change) {
 	for _, change := range changes {
--- a/lib/placements/fleet.go
+++ b/lib/placements/fleet.go
@@ -40,10 +40,6 @@
 	responseTimeMargin = 1.4
 	// minWait lets a request wait for a slot that is about to become free.
 	minWait = 20 * time.Millisecond
-	// missingServerGrace is how long a server stays in use that is missing from the
-	// platform's list after an outage of the store: servers that are still running are
-	// listed again by then.
-	missingServerGrace = 1800 * time.Millisecond
 )
 
 type (
@@ -98,7 +94,6 @@
 		predictionErrors map[string]time.Duration
 		servers          map[string]ServerState
 		byService        map[string][]string
-		removeAt         map[string]time.Time
 	}
 )
 
@@ -125,16 +120,15 @@
 		dataCentre:       dataCentre,
 		servers:          map[string]ServerState{},
 		byService:        map[string][]string{},
-		removeAt:         map[string]time.Time{},
 		predictionErrors: map[string]time.Duration{},
 	}
 }
 
-// UpdateServers applies the platform's list of servers and returns what changed.
-// RecoveredAt is when the store last recovered from an outage. Servers that are
-// missing from the list are removed, either at once or when the grace after an outage
-// has passed. There is no grace for a server whose address another one has now.
-func (fleet *Fleet) UpdateServers(servers []Server, recoveredAt, now time.Time) []Change {
+// UpdateServers applies the platform's list of servers and returns what changed. A
+// server that is missing from the list stays in use until keepMissingUntil, if that is
+// not over yet: in an outage of the store, servers lose their entries and write them
+// again afterwards. One whose address another server has now is removed at once.
+func (fleet *Fleet) UpdateServers(servers []Server, keepMissingUntil, now time.Time) []Change {
 	var changes []Change
 	listed, addresses := map[string]bool{}, map[string]bool{}
 	for _, server := range CurrentServers(servers) {
@@ -146,38 +140,29 @@
 			changes = append(changes, Change{Server: server, Kind: Joined})
 		case server.Draining && !known.Server.Draining:
 			changes = append(changes, Change{Server: server, Kind: Draining})
-		case fleet.isMissing(server.ID):
+		case known.isMissing():
 			changes = append(changes, Change{Server: server, Kind: Returned})
 		}
-		delete(fleet.removeAt, server.ID)
 		fleet.servers[server.ID] = fleet.servers[server.ID].WithServer(server)
 	}
 	for id, state := range fleet.servers {
 		if listed[id] {
 			continue
 		}
-		keepUntil := recoveredAt.Add(missingServerGrace)
-		if now.Before(keepUntil) && !state.Server.Draining && !addresses[state.Server.Address] {
-			if !fleet.isMissing(id) {
-				changes = append(changes, Change{Server: state.Server, Kind: Missing, KeptUntil: keepUntil})
+		if now.Before(keepMissingUntil) && !state.Server.Draining && !addresses[state.Server.Address] {
+			if !state.isMissing() {
+				changes = append(changes, Change{Server: state.Server, Kind: Missing, KeptUntil: keepMissingUntil})
 			}
-			fleet.removeAt[id] = keepUntil
+			fleet.servers[id] = state.WithoutEntry(keepMissingUntil)
 			continue
 		}
 		changes = append(changes, Change{Server: state.Server, Kind: Removed})
-		delete(fleet.removeAt, id)
 		delete(fleet.servers, id)
 	}
 	fleet.rebuildServiceIndex()
 	return changes
 }
 
-// isMissing reports whether the server is missing from the platform's list.
-func (fleet *Fleet) isMissing(id string) bool {
-	_, isMissing := fleet.removeAt[id]
-	return isMissing
-}
-
 // CurrentServers returns the servers without those whose address a newer one has. The
 // entry of a server that was lost stays listed until its lease ends, while the server
 // that was started in its place is listed already.
@@ -203,16 +188,17 @@
 // SetVersionTargets replaces the announced versions.
 func (fleet *Fleet) SetVersionTargets(targets VersionTargets) { fleet.targets = targets }
 
-// Expire removes the missing servers whose grace has passed and returns them.
+// Expire removes the missing servers that are no longer in use and returns them.
 func (fleet *Fleet) Expire(now time.Time) []Change {
 	var changes []Change
-	for id, keepUntil := range fleet.removeAt {
-		if now.Before(keepUntil) {
+	for id, state := range fleet.servers {
+		if !state.isMissing() || now.Before(state.keptUntil) {
 			continue
 		}
-		changes = append(changes, Change{Server: fleet.servers[id].Server, Kind: Expired})
-		delete(fleet.removeAt, id)
+		changes = append(changes, Change{Server: state.Server, Kind: Expired})
 		delete(fleet.servers, id)
+	}
+	if len(changes) > 0 {
 		fleet.rebuildServiceIndex()
 	}
 	return changes
@@ -304,7 +290,7 @@
 		}
 		if !found || cost < bestCost {
 			best, bestCost, found = Choice{Server: state.Server.WithVersions(state.versions(now)), Predicted: predicted}, cost, true
-			best.Unlisted = fleet.isMissing(state.Server.ID)
+			best.Unlisted = state.isMissing()
 		}
 	}
 	return best, found
--- a/lib/placements/placements_test.go
+++ b/lib/placements/placements_test.go
@@ -144,15 +144,18 @@
 		leaving := newEngine("leaving", "nairobi", 1)
 		leaving.Draining = true
 		fleet := fleetOf(newEngine("a", "nairobi", 1), newEngine("b", "nairobi", 1), leaving)
-		fleet.UpdateServers(nil, at(0), at(10*time.Millisecond))
+		keptUntil := at(2 * time.Second)
+		fleet.UpdateServers(nil, keptUntil, at(10*time.Millisecond))
 		convey.So(fleet.CountCandidates(Requirements{Service: "pool"}, 1, at(0)).Servers(), convey.ShouldEqual, 2)
-		fleet.UpdateServers([]Server{newEngine("a", "nairobi", 1)}, at(0), at(time.Second))
-		fleet.Expire(at(missingServerGrace))
+		fleet.UpdateServers([]Server{newEngine("a", "nairobi", 1)}, keptUntil, at(time.Second))
+		convey.So(fleet.CountCandidates(Requirements{Service: "pool"}, 1, keptUntil.Add(-1)).Closed, convey.ShouldEqual, 0)
+		convey.So(fleet.CountCandidates(Requirements{Service: "pool"}, 1, keptUntil).Closed, convey.ShouldEqual, 1)
+		fleet.Expire(keptUntil)
 		convey.So(fleet.CountCandidates(Requirements{Service: "pool"}, 1, at(0)).Servers(), convey.ShouldEqual, 1)
 	})
 	convey.Convey("Given a server that is missing without an outage of the store", t, func() {
 		fleet := fleetOf(newEngine("a", "nairobi", 1), newEngine("b", "nairobi", 1))
-		fleet.UpdateServers([]Server{newEngine("a", "nairobi", 1)}, at(0), at(missingServerGrace+time.Millisecond))
+		fleet.UpdateServers([]Server{newEngine("a", "nairobi", 1)}, at(0), at(time.Millisecond))
 		convey.So(fleet.CountCandidates(Requirements{Service: "pool"}, 1, at(0)).Servers(), convey.ShouldEqual, 1)
 	})
 }
@@ -166,7 +169,7 @@
 	old.Address, next.Address, next.Revision = "10.1.0.1:80", "10.1.0.1:80", 1
 	convey.Convey("Given a server that is listed at the address of another", t, func() {
 		fleet := fleetOf(old)
-		changes := fleet.UpdateServers([]Server{next, old}, at(0), at(time.Millisecond))
+		changes := fleet.UpdateServers([]Server{next, old}, at(time.Second), at(time.Millisecond))
 		convey.So(changes, convey.ShouldHaveLength, 2)
 		for range 5 {
 			choice, found := fleet.Choose(requirements, 0, at(0), zeroRandom)
--- a/lib/placements/server_state.go
+++ b/lib/placements/server_state.go
@@ -75,7 +75,10 @@
 		consecutiveFailures                          int
 		suspendedUntil                               time.Time
 		// isReplaced is set once another server has answered at the address.
-		isReplaced   bool
+		isReplaced bool
+		// keptUntil is until when a server that is missing from the platform's list stays
+		// in use, zero for a listed one.
+		keptUntil    time.Time
 		responseTime time.Duration
 	}
 
@@ -117,9 +120,20 @@
 		state.isReplaced = false
 	}
 	state.Server = server
+	state.keptUntil = time.Time{}
 	return state
 }
 
+// WithoutEntry returns the state after the server went missing from the platform's
+// list. It stays in use until the time.
+func (state ServerState) WithoutEntry(keptUntil time.Time) ServerState {
+	state.keptUntil = keptUntil
+	return state
+}
+
+// isMissing reports whether the server is missing from the platform's list.
+func (state ServerState) isMissing() bool { return !state.keptUntil.IsZero() }
+
 // WithReport returns the state after a report of the agent.
 func (state ServerState) WithReport(report Report, now time.Time) ServerState {
 	if report.Incarnation != state.lastReport.Incarnation {
@@ -245,5 +259,8 @@
 	if now.Before(state.suspendedUntil) || state.Server.Draining || state.isReplaced {
 		return true
 	}
+	if state.isMissing() && !now.Before(state.keptUntil) {
+		return true
+	}
 	return state.hasFreshReport(now) && state.lastReport.Closed
 }
--- a/lib/platform/watcher.go
+++ b/lib/platform/watcher.go
@@ -44,12 +44,13 @@
 		Changes(ctx context.Context, table string, after int64, wait time.Duration) (changes []Change, revision int64, err error)
 	}
 
-	// View is the content of a table at a revision. RecoveredAt is when the store last
-	// answered again after a failure, or zero if it never failed.
+	// View is the content of a table at a revision. UnavailableAt is when the last call
+	// began that the store did not answer, or zero if it answered all: the store was
+	// unavailable to this process then, and may have been available from then on.
 	View struct {
-		Rows        map[string]Row
-		Revision    int64
-		RecoveredAt time.Time
+		Rows          map[string]Row
+		Revision      int64
+		UnavailableAt time.Time
 	}
 
 	// Watcher follows one table. PollWait is how long a poll waits for a change.
@@ -182,7 +183,7 @@
 		// A replica of the store that lags must not replace a newer view.
 		return ErrHistoryLost
 	}
-	view := View{Rows: map[string]Row{}, Revision: revision, RecoveredAt: state.view.RecoveredAt}
+	view := View{Rows: map[string]Row{}, Revision: revision, UnavailableAt: state.view.UnavailableAt}
 	for _, row := range rows {
 		view.Rows[row.Key] = row
 	}
@@ -212,10 +213,10 @@
 // publish makes the view the current one and reports it.
 func (state *watcherState) publish(view View) {
 	if state.isFailing() {
-		view.RecoveredAt = time.Now()
+		view.UnavailableAt = state.failedAt
 		state.Logger.Info("store regained", zap.String("table", state.Table), zap.Int64("revision", view.Revision),
-			zap.Duration("lost_for", view.RecoveredAt.Sub(state.failingSince)), zap.Int("failed_calls", state.failedCalls),
-			zap.Duration("after_last_failed_call", view.RecoveredAt.Sub(state.failedAt)))
+			zap.Duration("lost_for", time.Since(state.failingSince)), zap.Int("failed_calls", state.failedCalls),
+			zap.Duration("after_last_failed_call", time.Since(state.failedAt)))
 		state.failedCalls = 0
 	}
 	state.view = view
@@ -232,7 +233,7 @@
 // apply returns the view after the changes. It ignores changes that are older than the
 // known row, because a response of the store may be late.
 func (view View) apply(changes []Change, revision int64) View {
-	next := View{Rows: make(map[string]Row, len(view.Rows)), Revision: max(view.Revision, revision), RecoveredAt: view.RecoveredAt}
+	next := View{Rows: make(map[string]Row, len(view.Rows)), Revision: max(view.Revision, revision), UnavailableAt: view.UnavailableAt}
 	for key, row := range view.Rows {
 		next.Rows[key] = row
 	}
--- a/lib/platform/watcher_test.go
+++ b/lib/platform/watcher_test.go
@@ -40,16 +40,16 @@
 func TestWatchAsksShortlyDuringAnOutage(t *testing.T) {
 	feed := &failingFeed{}
 	var waits []time.Duration
-	var recovery time.Duration
+	var recovery, unavailable time.Duration
 	synctest.Test(t, func(*testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
-		resumed := make(chan time.Time, 1)
+		resumed := make(chan View, 1)
 		go Watcher{
 			Feed: feed, Table: "op", PollWait: 20 * time.Second, PollPause: FixedPause(0), Logger: zap.NewNop(), Scope: tally.NoopScope,
 			OnUpdate: func(view View) {
-				if !view.RecoveredAt.IsZero() {
-					resumed <- view.RecoveredAt
+				if !view.UnavailableAt.IsZero() {
+					resumed <- view
 				}
 			},
 		}.Run(ctx)
@@ -59,7 +59,9 @@
 		feed.isRecovered = true
 		feed.mutex.Unlock()
 		recoveredAt := time.Now()
-		recovery = (<-resumed).Sub(recoveredAt)
+		view := <-resumed
+		recovery = time.Since(recoveredAt)
+		unavailable = recoveredAt.Sub(view.UnavailableAt)
 	})
 	convey.Convey("Given a store that was unavailable for half a minute", t, func() {
 		convey.So(len(waits), convey.ShouldBeBetween, 15, 60)
@@ -67,6 +69,7 @@
 			convey.So(wait, convey.ShouldEqual, 0)
 		}
 		convey.So(recovery, convey.ShouldBeLessThan, 2*maxBackoff)
+		convey.So(unavailable, convey.ShouldBeBetween, 0, 2*maxBackoff)
 	})
 }
 
--- a/lib/processes/routed.go
+++ b/lib/processes/routed.go
@@ -15,6 +15,8 @@
 
 const (
 	defaultVersionTimeout  = 8 * time.Second
+	defaultReconnectTime   = 3 * time.Second
+	maxReconnectTime       = time.Minute
 	maxVersionTimeout      = 10 * time.Minute
 	defaultShutdownTimeout = 8 * time.Second
 	maxShutdownTimeout     = 10 * time.Minute
@@ -44,9 +46,11 @@
 		ShutdownTimeout time.Duration
 	}
 
-	// RoutedEntry holds the settings of a routed entry.
+	// RoutedEntry holds the settings of a routed entry. ReconnectTime is how long after
+	// the end of an outage or a partition it must know again what the store holds.
 	RoutedEntry struct {
 		Routed
+		ReconnectTime  time.Duration
 		CallersAddress string
 		AdminAddress   string
 	}
@@ -71,6 +75,7 @@
 		Routed:         parseRouted(file),
 		CallersAddress: listen.Address("callers"),
 		AdminAddress:   listen.Address("admin"),
+		ReconnectTime:  file.Section("limits").Duration("reconnect_time", defaultReconnectTime, time.Second, maxReconnectTime),
 	}
 	return entry, file.Findings().Err()
 }
