Notice sooner that the store answers again

What callers would see: after an outage of the store, servers that are still running are taken for gone until they are listed again, and a configuration is late.

Cause: while the store does not answer, a watcher made one call after another, and a call that is silent takes a second, a pause up to 1.5 s. So the return was noticed up to 2.5 s late. Ruled out: a shorter timeout, which makes a slow store an unavailable one.

Change: while the store does not answer, calls begin at intervals of up to 0.45 s with a jitter of a half (agents: 1.5 s), also while earlier ones are open, four at most. The first answer counts; calls that it overtook tell how late the store was still unavailable.

Costs: an entry makes up to 2.2 calls a second and table while the store is silent, 0.7 before.

--- a/cmd/agent/routed/routed.go
+++ b/cmd/agent/routed/routed.go
@@ -33,6 +33,10 @@
 	// storePollWait is how long polls of the store wait for changes. It is also the
 	// interval between reads of the announced versions, if no entry sends them sooner.
 	storePollWait = 4 * time.Second
+	// storeRetryInterval bounds the interval between calls that the store does not answer.
+	// It is longer than that of entries, since there are several agents for each entry
+	// and entries tell them about new versions.
+	storeRetryInterval = 1500 * time.Millisecond
 	// unlistedPollPause and listedPollPause are the pauses between two polls of the
 	// server list, which changes with each engine that loads a version. For up to
 	// registrationTimeout after its engine has started, an agent must find out soon
@@ -103,7 +107,7 @@
 	agent.store = adapter.NewStore(settings.PlatformAddress, agent.metrics.Scope)
 	agent.operatorFeed = directives.NewPrefixFeed(agent.store, agent.store, adapter.VersionKeyPrefix)
 	agent.follower = directives.New(directives.Dependencies{
-		Feed: agent.operatorFeed, Table: adapter.OperatorTable, PollWait: storePollWait,
+		Feed: agent.operatorFeed, Table: adapter.OperatorTable, PollWait: storePollWait, RetryInterval: storeRetryInterval,
 		VersionTimeout: settings.VersionTimeout,
 		Decode:         adapter.DecodeDesiredState, RoutesChanged: func(routes.Table) {}, VersionAnnounced: agent.refreshServers, Logger: logger, Scope: agent.metrics.Scope,
 	})
@@ -172,7 +176,7 @@
 
 func (agent *agent) followServers(ctx context.Context) {
 	platform.Watcher{
-		Feed: agent.store, Table: adapter.ServerTable, PollWait: storePollWait, PollPause: agent.serverPollPause, Wake: agent.serversWanted,
+		Feed: agent.store, Table: adapter.ServerTable, PollWait: storePollWait, PollPause: agent.serverPollPause, RetryInterval: storeRetryInterval, Wake: agent.serversWanted,
 		Logger: agent.logger, Scope: agent.metrics.Scope, OnUpdate: agent.applyServerList,
 	}.Run(ctx)
 }
--- a/cmd/entry/routed/recovery_test.go
+++ b/cmd/entry/routed/recovery_test.go
@@ -184,3 +184,30 @@
 		convey.So(late, convey.ShouldEqual, 0)
 	})
 }
+
+// Guards against the loss of servers that are still running: in an outage of the store
+// they lose their entries, and write them again within about two seconds of its return.
+// An entry that notices the return late must not take them for gone before.
+func TestServersThatLapsedInAnOutageStayInUse(t *testing.T) {
+	const returnTime = 2 * time.Second
+	convey.Convey("Given an outage of the store in which a server loses its entry, it is used all the time until it is listed again", t, func() {
+		lost := 0
+		for _, phase := range phases() {
+			withSilentStore(t, phase, func(_ *entry, feed *scriptedFeed) { feed.list("1", false) }, func(entry *entry, feed *scriptedFeed) {
+				for time.Since(feed.silentUntil) < returnTime {
+					if !entry.serverUsed() {
+						lost++
+						return
+					}
+					time.Sleep(10 * time.Millisecond)
+				}
+				feed.list("1", true)
+				time.Sleep(serverPollWait)
+				if !entry.serverUsed() {
+					lost++
+				}
+			})
+		}
+		convey.So(lost, convey.ShouldEqual, 0)
+	})
+}
--- a/cmd/entry/routed/routed.go
+++ b/cmd/entry/routed/routed.go
@@ -31,9 +31,8 @@
 const (
 	// operatorPollWait and serverPollWait are how long a poll of the store waits for
 	// changes. A short wait costs more calls, since a poll without changes costs one
-	// too. A long wait delays recovery: a poll that a network partition has blocked
-	// must end before the process counts as connected again, and a configuration has
-	// to be in force 2 s after that.
+	// too. A long wait delays the discovery of a partition: a poll that it has blocked
+	// ends a second after its wait.
 	operatorPollWait = 2 * time.Second
 	serverPollWait   = 2 * time.Second
 	// operatorPollPause and serverPollPause are the pauses between two polls. They
@@ -42,6 +41,10 @@
 	// changes at once would fill the links between regions.
 	operatorPollPause = 150 * time.Millisecond
 	serverPollPause   = 500 * time.Millisecond
+	// storeRetryInterval bounds, with its jitter of a half, how late an entry notices that
+	// the store answers again. Servers that are missing from the list are kept that much
+	// shorter.
+	storeRetryInterval = 450 * time.Millisecond
 	// versionMargin is how long before its due time a version is required. A request
 	// may need that long to cross a link that is filled with pieces of weights and to
 	// wait at the engine.
@@ -104,6 +107,7 @@
 	entry.queue = gateways.NewAdmissionQueue(placements.NewFleet(settings.DataCentre), entry.notifyAgent)
 	entry.follower = directives.New(directives.Dependencies{
 		Feed: entry.store, Table: adapter.OperatorTable, PollWait: operatorPollWait, PollPause: operatorPollPause,
+		RetryInterval:  storeRetryInterval,
 		VersionTimeout: settings.VersionTimeout - versionMargin, EarlierVersionTimeout: earlierVersionTimeout,
 		Decode: adapter.DecodeDesiredState, RoutesChanged: entry.applyRoutes, VersionAnnounced: entry.announceVersions, Logger: logger, Scope: entry.metrics.Scope,
 	})
@@ -197,7 +201,8 @@
 func (entry *entry) followServers(ctx context.Context) {
 	platform.Watcher{
 		Feed: entry.store, Table: adapter.ServerTable, PollWait: serverPollWait, PollPause: platform.FixedPause(serverPollPause),
-		Logger: entry.logger, Scope: entry.metrics.Scope, OnUpdate: entry.applyServerList, OnAnswer: entry.confirmServerList,
+		RetryInterval: storeRetryInterval,
+		Logger:        entry.logger, Scope: entry.metrics.Scope, OnUpdate: entry.applyServerList, OnAnswer: entry.confirmServerList,
 	}.Run(ctx)
 }
 
--- a/lib/platform/watcher.go
+++ b/lib/platform/watcher.go
@@ -16,10 +16,9 @@
 )
 
 const (
-	// The backoff between failed calls grows from minBackoff to maxBackoff, with jitter,
-	// so that a fleet whose processes all restart at once does not overload the store.
-	minBackoff = 100 * time.Millisecond
-	maxBackoff = time.Second
+	// maxHistoryPause bounds the pause before a table is read again whose history was
+	// lost. It spreads the processes that are told so at the same time.
+	maxHistoryPause = 100 * time.Millisecond
 
 	millisecondsPerSecond = 1000
 )
@@ -55,12 +54,14 @@
 
 	// Watcher follows one table. PollWait is how long a poll waits for a change.
 	// PollPause returns the pause between two polls, which lets one poll return several
-	// changes that are made within a short time.
+	// changes that are made within a short time. While the store does not answer, calls
+	// begin at intervals that grow up to RetryInterval.
 	Watcher struct {
-		Feed      Feed
-		Table     string
-		PollWait  time.Duration
-		PollPause func() time.Duration
+		Feed          Feed
+		Table         string
+		PollWait      time.Duration
+		PollPause     func() time.Duration
+		RetryInterval time.Duration
 		// Wake ends a pause between two polls early. It may be nil.
 		Wake   <-chan struct{}
 		Logger *zap.Logger
@@ -95,39 +96,26 @@
 
 // Run follows the table until the context ends.
 func (watcher Watcher) Run(ctx context.Context) {
-	state := &watcherState{Watcher: watcher, backoff: backoff.NewExponentialBackOff()}
-	state.backoff.InitialInterval = minBackoff
-	state.backoff.MaxInterval = maxBackoff
+	state := &watcherState{Watcher: watcher, backoff: newRetryIntervals(watcher.RetryInterval)}
 	for ctx.Err() == nil {
 		state.poll(ctx)
 	}
 }
 
-// poll makes one call to the store and pauses afterwards.
+// poll calls the store until it answers, and pauses afterwards.
 func (state *watcherState) poll(ctx context.Context) {
-	startedAt := time.Now()
-	var err error
-	if state.hasView {
-		err = state.readChanges(ctx)
-	} else {
-		err = state.readSnapshot(ctx)
-	}
-	if err == nil {
-		state.recordSuccess()
-		state.pauseBetweenPolls(ctx)
+	answered, found := state.awaitAnswer(ctx)
+	if !found {
 		return
 	}
-	if ctx.Err() != nil {
-		return
-	}
-	if errors.Is(err, ErrHistoryLost) {
+	if err := state.apply(answered); err != nil {
 		state.Logger.Info("store history lost", zap.String("table", state.Table), zap.Int64("revision", state.view.Revision))
 		state.hasView = false
-		pause(ctx, time.Duration(rand.Int64N(int64(minBackoff))))
+		pause(ctx, time.Duration(rand.Int64N(int64(maxHistoryPause))))
 		return
 	}
-	state.recordFailure(startedAt, err)
-	pause(ctx, state.backoff.NextBackOff())
+	state.recordSuccess()
+	state.pauseBetweenPolls(ctx)
 }
 
 // pauseBetweenPolls waits for the pause between two polls or until it is ended early.
@@ -150,17 +138,6 @@
 	}
 }
 
-func (state *watcherState) isFailing() bool { return state.failedCalls > 0 }
-
-func (state *watcherState) recordFailure(startedAt time.Time, err error) {
-	if !state.isFailing() {
-		state.Logger.Warn("store lost", zap.String("table", state.Table), zap.Int64("revision", state.view.Revision), zap.Error(err))
-		state.failingSince = startedAt
-	}
-	state.failedCalls++
-	state.failedAt = startedAt
-}
-
 func (state *watcherState) recordSuccess() {
 	state.backoff.Reset()
 	scope := state.Scope.Tagged(map[string]string{"table": state.Table})
@@ -174,17 +151,22 @@
 	}
 }
 
-func (state *watcherState) readSnapshot(ctx context.Context) error {
-	rows, revision, err := state.Feed.Snapshot(ctx, state.Table)
-	if err != nil {
-		return err
+// apply brings the view up to date with an answered call. It returns ErrHistoryLost if
+// the whole table must be read again.
+func (state *watcherState) apply(answered call) error {
+	if answered.err != nil {
+		return answered.err
+	}
+	if !answered.isSnapshot {
+		state.applyChanges(answered)
+		return nil
 	}
-	if revision < state.view.Revision {
+	if answered.revision < state.view.Revision {
 		// A replica of the store that lags must not replace a newer view.
 		return ErrHistoryLost
 	}
-	view := View{Rows: map[string]Row{}, Revision: revision, UnavailableAt: state.view.UnavailableAt}
-	for _, row := range rows {
+	view := View{Rows: map[string]Row{}, Revision: answered.revision, UnavailableAt: state.view.UnavailableAt}
+	for _, row := range answered.rows {
 		view.Rows[row.Key] = row
 	}
 	state.publish(view)
@@ -192,22 +174,12 @@
 	return nil
 }
 
-func (state *watcherState) readChanges(ctx context.Context) error {
-	wait := state.PollWait
-	if state.isFailing() {
-		// A call without a wait detects soonest that the store has recovered.
-		wait = 0
-	}
-	changes, revision, err := state.Feed.Changes(ctx, state.Table, state.view.Revision, wait)
-	if err != nil {
-		return err
-	}
-	if len(changes) == 0 {
-		state.view.Revision = max(state.view.Revision, revision)
-		return nil
+func (state *watcherState) applyChanges(answered call) {
+	if len(answered.changes) == 0 {
+		state.view.Revision = max(state.view.Revision, answered.revision)
+		return
 	}
-	state.publish(state.view.apply(changes, revision))
-	return nil
+	state.publish(state.view.apply(answered.changes, answered.revision))
 }
 
 // publish makes the view the current one and reports it.
--- a/lib/platform/watcher_test.go
+++ b/lib/platform/watcher_test.go
@@ -14,6 +14,8 @@
 	"go.uber.org/zap/zaptest/observer"
 )
 
+const retryInterval = time.Second
+
 // failingFeed is a feed that fails until isRecovered is set. It records the wait of
 // each poll.
 type failingFeed struct {
@@ -46,7 +48,7 @@
 		defer cancel()
 		resumed := make(chan View, 1)
 		go Watcher{
-			Feed: feed, Table: "op", PollWait: 20 * time.Second, PollPause: FixedPause(0), Logger: zap.NewNop(), Scope: tally.NoopScope,
+			Feed: feed, Table: "op", PollWait: 20 * time.Second, PollPause: FixedPause(0), RetryInterval: retryInterval, Logger: zap.NewNop(), Scope: tally.NoopScope,
 			OnUpdate: func(view View) {
 				if !view.UnavailableAt.IsZero() {
 					resumed <- view
@@ -68,8 +70,8 @@
 		for _, wait := range waits[1:] {
 			convey.So(wait, convey.ShouldEqual, 0)
 		}
-		convey.So(recovery, convey.ShouldBeLessThan, 2*maxBackoff)
-		convey.So(unavailable, convey.ShouldBeBetween, 0, 2*maxBackoff)
+		convey.So(recovery, convey.ShouldBeLessThan, 2*retryInterval)
+		convey.So(unavailable, convey.ShouldBeBetween, 0, 2*retryInterval)
 	})
 }
 
@@ -112,7 +114,7 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
 		go Watcher{
-			Feed: feed, Table: "servers", PollWait: time.Second, PollPause: FixedPause(0), Logger: zap.New(core), Scope: tally.NoopScope,
+			Feed: feed, Table: "servers", PollWait: time.Second, PollPause: FixedPause(0), RetryInterval: retryInterval, Logger: zap.New(core), Scope: tally.NoopScope,
 			OnUpdate: func(View) {},
 		}.Run(ctx)
 		time.Sleep(10 * time.Second)
@@ -120,7 +122,7 @@
 		feed.isRecovered = true
 		failedCalls = len(feed.waits)
 		feed.mutex.Unlock()
-		time.Sleep(2 * maxBackoff)
+		time.Sleep(2 * retryInterval)
 	})
 	convey.Convey("Given a store that was unavailable for ten seconds", t, func() {
 		regained := lines.FilterMessage("store regained")
@@ -128,6 +130,6 @@
 		fields := regained.All()[0].ContextMap()
 		convey.So(fields["lost_for"], convey.ShouldBeBetween, 10*time.Second, 12*time.Second)
 		convey.So(fields["failed_calls"], convey.ShouldEqual, failedCalls)
-		convey.So(fields["after_last_failed_call"], convey.ShouldBeBetween, 0, 2*maxBackoff)
+		convey.So(fields["after_last_failed_call"], convey.ShouldBeBetween, 0, 2*retryInterval)
 	})
 }
