Log and count the limits that servers state

The adapter decodes the header, the fleet keeps the last statement of each server, an entry logs 'server limit' when it changes, with the request that heard it, and counts attempts at servers with a limit. An answer without a limit ends it only if its server signed it and its request was sent after the limit was heard. No decision depends on it yet. TestLimitsAreLogged and TestParseResponse fail without it.

--- a/lib/gateways/admission_queue.go
+++ b/lib/gateways/admission_queue.go
@@ -180,6 +180,14 @@
 	queue.deliverGrants(queue.dispatcher.Dispatch(reservation.Server.Service, time.Now()))
 }
 
+// recordLimit records the limit that a server stated in an answer, and reports whether
+// that has changed.
+func (queue *AdmissionQueue) recordLimit(reservation *placements.Reservation, perS float64, sentAt time.Time) bool {
+	queue.mutex.Lock()
+	defer queue.mutex.Unlock()
+	return queue.dispatcher.RecordLimit(reservation, perS, sentAt, time.Now())
+}
+
 // countRequest counts a caller's request towards the retry budget of its service.
 func (queue *AdmissionQueue) countRequest(service string) {
 	queue.mutex.Lock()
--- a/lib/gateways/dialect.go
+++ b/lib/gateways/dialect.go
@@ -44,12 +44,15 @@
 	// means that the answer comes from a server that ran the request. Misdirected
 	// means that another server now has the address. IdleUntil is when the server
 	// closes the connection if it stays idle, zero if the server did not state it.
+	// LimitPerS is how many requests a second the server takes from all entries together,
+	// zero if it states no limit.
 	ResponseInfo struct {
 		ID          string
 		NotRun      bool
 		Signed      bool
 		Misdirected bool
 		IdleUntil   time.Time
+		LimitPerS   float64
 	}
 
 	// Dialect parses and writes the headers of a platform. Its methods are called
--- a/lib/gateways/fakes_test.go
+++ b/lib/gateways/fakes_test.go
@@ -46,7 +46,11 @@
 
 func (testDialect) ParseResponse(status int, header http.Header, _ time.Time) ResponseInfo {
 	isMisdirected := status == http.StatusMisdirectedRequest
-	return ResponseInfo{ID: header.Get("Id"), NotRun: isMisdirected || header.Get("Not-Run") != "", Signed: header.Get("Signed") != "", Misdirected: isMisdirected}
+	limit, _ := strconv.ParseFloat(header.Get("Limit"), 64)
+	return ResponseInfo{
+		ID: header.Get("Id"), NotRun: isMisdirected || header.Get("Not-Run") != "", Signed: header.Get("Signed") != "", Misdirected: isMisdirected,
+		LimitPerS: limit,
+	}
 }
 
 // script answers one request by writing raw bytes to the connection. It returns
--- a/lib/gateways/forward.go
+++ b/lib/gateways/forward.go
@@ -59,6 +59,7 @@
 	if err != nil {
 		return request.classifyError(ctx, err)
 	}
+	request.recordLimit(reservation, info, sentAt)
 	if info.NotRun {
 		return notRun{misdirected: info.Misdirected}
 	}
@@ -74,6 +75,18 @@
 	return outcome
 }
 
+// recordLimit records the limit that the server states in its answer. Only an answer
+// that a server certainly wrote itself ends a limit.
+func (request *request) recordLimit(reservation *placements.Reservation, info ResponseInfo, sentAt time.Time) {
+	if info.Misdirected || info.LimitPerS == 0 && !info.Signed {
+		return
+	}
+	if request.gateway.Queue.recordLimit(reservation, info.LimitPerS, sentAt) {
+		request.gateway.Logger.Info(eventLimit, zap.String("server", reservation.Server.ID), zap.String("address", reservation.Server.Address),
+			zap.String("service", reservation.Server.Service), zap.Float64("limit_per_s", info.LimitPerS), zap.String("heard_by", request.info.ID))
+	}
+}
+
 // mayReuseConnection reports whether the connection may carry another request.
 func mayReuseConnection(outcome attemptResult, response *http.Response) bool {
 	switch outcome.(type) {
--- a/lib/gateways/metrics.go
+++ b/lib/gateways/metrics.go
@@ -72,6 +72,11 @@
 	metrics.scope.Counter("unlisted_attempts").Inc(1)
 }
 
+// countLimitedAttempt counts a request that was placed on a server which stated a limit.
+func (metrics gatewayMetrics) countLimitedAttempt() {
+	metrics.scope.Counter("limited_attempts").Inc(1)
+}
+
 func outcomeLabel(outcome attemptResult) string {
 	switch outcome.(type) {
 	case delivered:
--- a/lib/gateways/request_log.go
+++ b/lib/gateways/request_log.go
@@ -28,6 +28,7 @@
 	eventTurnedAway  = "server turned request away"
 	eventAnswerLost  = "answer lost"
 	eventServerError = "server answered with an error"
+	eventLimit       = "server limit"
 )
 
 // newSampler returns the rate limiter for lines on routine requests.
--- a/lib/gateways/retries.go
+++ b/lib/gateways/retries.go
@@ -78,6 +78,9 @@
 		server := reservation.Server
 		request.placedAt = time.Now()
 		request.predictedDelay = reservation.Predicted
+		if reservation.Limited {
+			request.gateway.metrics.countLimitedAttempt()
+		}
 		if reservation.Unlisted {
 			request.usesUnlistedServer = true
 			request.gateway.metrics.countUnlistedAttempt()
--- a/lib/placements/dispatcher.go
+++ b/lib/placements/dispatcher.go
@@ -41,14 +41,15 @@
 
 	// Reservation is the capacity of a server that is reserved for one request.
 	// Predicted is the expected time to its first event, zero if unknown. Unlisted is set
-	// if the server is missing from the platform's list. Each reservation has to be ended
-	// with Release.
+	// if the server is missing from the platform's list, and Limited if it stated a limit.
+	// Each reservation has to be ended with Release.
 	Reservation struct {
 		Server    Server
 		Number    uint64
 		Tokens    int
 		Predicted time.Duration
 		Unlisted  bool
+		Limited   bool
 		Answered  bool
 	}
 
@@ -165,7 +166,8 @@
 	}
 	dispatcher.lastNumber++
 	reservation := &Reservation{
-		Server: choice.Server, Number: dispatcher.lastNumber, Tokens: requirements.Tokens, Predicted: choice.Predicted, Unlisted: choice.Unlisted,
+		Server: choice.Server, Number: dispatcher.lastNumber, Tokens: requirements.Tokens, Predicted: choice.Predicted,
+		Unlisted: choice.Unlisted, Limited: choice.Limited,
 	}
 	dispatcher.fleet.RecordStart(choice.Server.ID, requirements.Tokens)
 	dispatcher.startRates[requirements.Service] = dispatcher.startRates[requirements.Service].WithStart(now)
@@ -223,6 +225,12 @@
 	return true
 }
 
+// RecordLimit records the limit per second that the server stated in the answer to the
+// request, zero if it stated none, and reports whether that has changed.
+func (dispatcher *Dispatcher) RecordLimit(reservation *Reservation, perS float64, sentAt, now time.Time) bool {
+	return dispatcher.fleet.RecordLimit(reservation.Server.ID, perS, sentAt, now)
+}
+
 // RecordResponseTime records the time to the first event or answer of a request.
 func (dispatcher *Dispatcher) RecordResponseTime(reservation *Reservation, after time.Duration) {
 	dispatcher.fleet.RecordResponseTime(reservation.Server.ID, after)
--- a/lib/placements/fleet.go
+++ b/lib/placements/fleet.go
@@ -59,11 +59,12 @@
 
 	// Choice is a server chosen for a request. Predicted is the expected time to its
 	// first event, zero if unknown. Unlisted is set for a server that is missing from
-	// the platform's list.
+	// the platform's list, and Limited for one that stated a limit.
 	Choice struct {
 		Server    Server
 		Predicted time.Duration
 		Unlisted  bool
+		Limited   bool
 	}
 
 	// candidate is a server that can take a request, with the predicted time to its first
@@ -316,6 +317,7 @@
 		if !found || cost < bestCost {
 			best, bestCost, found = Choice{Server: state.Server.WithVersions(state.versions(now)), Predicted: predicted}, cost, true
 			best.Unlisted = state.isMissing()
+			best.Limited = state.limit.isLimit()
 		}
 	}
 	return best, found
--- a/lib/placements/server_state.go
+++ b/lib/placements/server_state.go
@@ -80,6 +80,7 @@
 		// in use, zero for a listed one.
 		keptUntil    time.Time
 		responseTime time.Duration
+		limit        LimitStatement
 	}
 
 	// Outcome is how a request at a server ended.
