Follow a store that comes back from an older copy

So entries would go on with servers that left, a replaced configuration and late versions.

Change: the adapter reads the epoch (Store-Era) from each answer of the store, of whatever status, and a position is an epoch and a revision. A higher epoch wins over any revision, an answer of a lower one is late and counts as a failed call, within an epoch nothing goes back. On a new epoch the table is read again after up to a second, spread over the processes, and the earlier view stays in use meanwhile. One line when the epoch is first told, one when the rows are back or ten seconds have passed; a gauge table_epoch.

TestWatcherFollowsAStoreThatGoesBack and TestWatcherSeesRowsUnderReusedRevisions fail on the code before, each after waiting for ten seconds.

--- a/cmd/entry/routed/recovery_test.go
+++ b/cmd/entry/routed/recovery_test.go
@@ -60,10 +60,10 @@
 	delete(feed.rows, id)
 }
 
-func (feed *scriptedFeed) Snapshot(ctx context.Context, _ string) ([]platform.Row, int64, error) {
+func (feed *scriptedFeed) Snapshot(ctx context.Context, _ string) ([]platform.Row, platform.Position, error) {
 	if feed.isSilent() {
 		sleep(ctx, silentCallTime)
-		return nil, 0, platform.ErrUnavailable
+		return nil, platform.Position{}, platform.ErrUnavailable
 	}
 	feed.mutex.Lock()
 	defer feed.mutex.Unlock()
@@ -71,19 +71,19 @@
 	for _, row := range feed.rows {
 		rows = append(rows, row)
 	}
-	return rows, feed.revision, nil
+	return rows, platform.Position{Revision: feed.revision}, nil
 }
 
-func (feed *scriptedFeed) Changes(ctx context.Context, _ string, after int64, wait time.Duration) ([]platform.Change, int64, error) {
+func (feed *scriptedFeed) Changes(ctx context.Context, _ string, after platform.Position, wait time.Duration) ([]platform.Change, platform.Position, error) {
 	startedAt := time.Now()
 	for {
 		if feed.isSilent() {
 			sleep(ctx, time.Until(startedAt.Add(wait+silentCallTime)))
-			return nil, 0, platform.ErrUnavailable
+			return nil, platform.Position{}, platform.ErrUnavailable
 		}
-		changes, revision := feed.changesAfter(after)
+		changes, revision := feed.changesAfter(after.Revision)
 		if len(changes) > 0 || time.Since(startedAt) >= wait || ctx.Err() != nil {
-			return changes, revision, ctx.Err()
+			return changes, platform.Position{Revision: revision}, ctx.Err()
 		}
 		sleep(ctx, feedStep)
 	}
--- a/lib/directives/prefix_feed.go
+++ b/lib/directives/prefix_feed.go
@@ -32,8 +32,8 @@
 	// RowReader reads a range of the rows of a table.
 	RowReader interface {
 		// ScanPrefix returns the rows whose keys start with the prefix, and the newest
-		// revision of the store.
-		ScanPrefix(ctx context.Context, table, prefix string) ([]platform.Row, int64, error)
+		// position of the store.
+		ScanPrefix(ctx context.Context, table, prefix string) ([]platform.Row, platform.Position, error)
 	}
 
 	// PrefixFeed is a feed that reads only the rows of a table with a key prefix, and
@@ -66,41 +66,41 @@
 }
 
 // Snapshot implements platform.Feed.
-func (feed *PrefixFeed) Snapshot(ctx context.Context, table string) ([]platform.Row, int64, error) {
+func (feed *PrefixFeed) Snapshot(ctx context.Context, table string) ([]platform.Row, platform.Position, error) {
 	if !feed.fullReadPending.Load() {
 		return feed.rows.ScanPrefix(ctx, table, feed.prefix)
 	}
-	rows, revision, err := feed.full.Snapshot(ctx, table)
+	rows, position, err := feed.full.Snapshot(ctx, table)
 	if err == nil {
 		feed.fullReadPending.Store(false)
 	}
-	return rows, revision, err
+	return rows, position, err
 }
 
 // Changes implements platform.Feed. It waits for the full time and then reads the
 // rows with the prefix, so each poll costs one call to the store. It returns
 // platform.ErrHistoryLost if a full read was requested meanwhile.
-func (feed *PrefixFeed) Changes(ctx context.Context, table string, after int64, wait time.Duration) ([]platform.Change, int64, error) {
+func (feed *PrefixFeed) Changes(ctx context.Context, table string, after platform.Position, wait time.Duration) ([]platform.Change, platform.Position, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
-		return nil, 0, ctx.Err()
+		return nil, platform.Position{}, ctx.Err()
 	case <-feed.fullReadSignal:
-		return nil, 0, platform.ErrHistoryLost
+		return nil, after, platform.ErrHistoryLost
 	case <-timer.C:
 	}
-	rows, revision, err := feed.rows.ScanPrefix(ctx, table, feed.prefix)
+	rows, position, err := feed.rows.ScanPrefix(ctx, table, feed.prefix)
 	if err != nil {
-		return nil, 0, err
+		return nil, position, err
 	}
 	var changes []platform.Change
 	for _, row := range rows {
-		if row.Revision > after {
+		if row.Revision > after.Revision {
 			changes = append(changes, platform.Change{Row: row})
 		}
 	}
-	return changes, revision, nil
+	return changes, position, nil
 }
 
 // Announcement returns the state of this process without the engine parameters.
--- a/lib/directives/prefix_feed_test.go
+++ b/lib/directives/prefix_feed_test.go
@@ -21,23 +21,23 @@
 	snapshots int
 }
 
-func (table *fakeTable) Snapshot(context.Context, string) ([]platform.Row, int64, error) {
+func (table *fakeTable) Snapshot(context.Context, string) ([]platform.Row, platform.Position, error) {
 	table.snapshots++
-	return table.rows, table.revision, nil
+	return table.rows, platform.Position{Revision: table.revision}, nil
 }
 
-func (*fakeTable) Changes(context.Context, string, int64, time.Duration) ([]platform.Change, int64, error) {
-	return nil, 0, errors.New("Changes would read the whole configuration")
+func (*fakeTable) Changes(context.Context, string, platform.Position, time.Duration) ([]platform.Change, platform.Position, error) {
+	return nil, platform.Position{}, errors.New("Changes would read the whole configuration")
 }
 
-func (table *fakeTable) ScanPrefix(_ context.Context, _, prefix string) ([]platform.Row, int64, error) {
+func (table *fakeTable) ScanPrefix(_ context.Context, _, prefix string) ([]platform.Row, platform.Position, error) {
 	var rows []platform.Row
 	for _, row := range table.rows {
 		if len(row.Key) >= len(prefix) && row.Key[:len(prefix)] == prefix {
 			rows = append(rows, row)
 		}
 	}
-	return rows, table.revision, nil
+	return rows, platform.Position{Revision: table.revision}, nil
 }
 
 // Guards against agents that download the whole configuration at each change: with
@@ -55,7 +55,7 @@
 			changes, next, err := feed.Changes(t.Context(), "op", revision, 0)
 			convey.So(err, convey.ShouldBeNil)
 			convey.So(changes, convey.ShouldBeEmpty)
-			convey.So(next, convey.ShouldEqual, 5)
+			convey.So(next.Revision, convey.ShouldEqual, 5)
 			convey.So(store.snapshots, convey.ShouldEqual, 0)
 		})
 		convey.Convey("Then a new version is read", func() {
--- a/lib/platform/calls.go
+++ b/lib/platform/calls.go
@@ -24,13 +24,17 @@
 	maxOpenCalls = 4
 )
 
+// errEarlierEpoch is the error of a late answer that the store gave before it came back
+// from an older copy.
+var errEarlierEpoch = errors.New("the answer is of an earlier epoch of the store")
+
 // call is a call to the store that has ended. A snapshot has rows, a poll has changes.
 type call struct {
 	startedAt  time.Time
 	isSnapshot bool
 	rows       []Row
 	changes    []Change
-	revision   int64
+	position   Position
 	err        error
 }
 
@@ -69,6 +73,9 @@
 			begin = true
 		case each := <-ended:
 			open = slices.DeleteFunc(open, each.startedAt.Equal)
+			if each.isAnswered() && each.position.Epoch < state.knownEpoch() {
+				each.err = errEarlierEpoch
+			}
 			if each.isAnswered() {
 				state.recordOvertaken(open, each.startedAt)
 				return each, true
@@ -89,13 +96,13 @@
 		// A call without a wait detects soonest that the store has recovered.
 		wait = 0
 	}
-	isSnapshot, after := !state.hasView, state.view.Revision
+	isSnapshot, after := !state.hasView, state.view.Position
 	go func() {
 		result := call{startedAt: startedAt, isSnapshot: isSnapshot}
 		if isSnapshot {
-			result.rows, result.revision, result.err = state.Feed.Snapshot(ctx, state.Table)
+			result.rows, result.position, result.err = state.Feed.Snapshot(ctx, state.Table)
 		} else {
-			result.changes, result.revision, result.err = state.Feed.Changes(ctx, state.Table, after, wait)
+			result.changes, result.position, result.err = state.Feed.Changes(ctx, state.Table, after, wait)
 		}
 		ended <- result
 	}()
@@ -112,6 +119,7 @@
 	}
 	state.failedCalls++
 	state.recordUnanswered(failed.startedAt)
+	state.noteEpoch(failed)
 }
 
 // recordOvertaken records the open calls that began before one that was answered.
--- a/lib/platform/watcher.go
+++ b/lib/platform/watcher.go
@@ -19,6 +19,9 @@
 	// maxHistoryPause bounds the pause before a table is read again whose history was
 	// lost. It spreads the processes that are told so at the same time.
 	maxHistoryPause = 100 * time.Millisecond
+	// maxEpochPause is the same for a store that came back from an older copy, which all
+	// processes notice at the same time and for all tables.
+	maxEpochPause = time.Second
 
 	millisecondsPerSecond = 1000
 )
@@ -36,20 +39,26 @@
 
 	// Feed is the part of the store that serves snapshots of tables and their changes.
 	Feed interface {
-		// Snapshot returns all rows of the table at one revision.
-		Snapshot(ctx context.Context, table string) (rows []Row, revision int64, err error)
-		// Changes returns the rows that changed after the revision, in order. It waits
-		// until there is one and returns none when the wait is over.
-		Changes(ctx context.Context, table string, after int64, wait time.Duration) (changes []Change, revision int64, err error)
+		// Snapshot returns all rows of the table at one position. An error may come with the
+		// epoch of the store.
+		Snapshot(ctx context.Context, table string) (rows []Row, position Position, err error)
+		// Changes returns the rows that changed after the position, in order. It waits
+		// until there is one and returns none when the wait is over. They are changes to the
+		// table at that position only if the epoch is still the same. An error may come with
+		// the epoch of the store.
+		Changes(ctx context.Context, table string, after Position, wait time.Duration) (changes []Change, position Position, err error)
 	}
 
-	// View is the content of a table at a revision. UnavailableAt is when the last call
-	// began that the store did not answer, or zero if it answered all: the store was
-	// unavailable to this process then, and may have been available from then on.
+	// View is the content of a table at a position. UnavailableAt is when the last call
+	// began that the store did not answer or that first told of the present epoch, or zero
+	// if there was none: the store was unavailable to this process then, and may have been
+	// available from then on. RestoredAt is when the call began that told of the present
+	// epoch, or zero if the epoch has not changed.
 	View struct {
+		Position
 		Rows          map[string]Row
-		Revision      int64
 		UnavailableAt time.Time
+		RestoredAt    time.Time
 	}
 
 	// Watcher follows one table. PollWait is how long a poll waits for a change.
@@ -86,7 +95,19 @@
 		failingSince time.Time
 		failedAt     time.Time
 		backoff      *backoff.ExponentialBackOff
+		restoration  restoration
 	}
+
+	// applyResult is whether a view is up to date after a call, and why not.
+	applyResult int
+)
+
+const (
+	upToDate applyResult = iota
+	// historyLost means that the whole table must be read again.
+	historyLost
+	// epochChanged means the same, since the store came back from an older copy.
+	epochChanged
 )
 
 // FixedPause returns a PollPause that is always the same.
@@ -108,14 +129,18 @@
 	if !found {
 		return
 	}
-	if err := state.apply(answered); err != nil {
+	switch state.apply(answered, time.Now()) {
+	case upToDate:
+		state.recordSuccess()
+		state.pauseBetweenPolls(ctx)
+	case historyLost:
 		state.Logger.Info("store history lost", zap.String("table", state.Table), zap.Int64("revision", state.view.Revision))
 		state.hasView = false
 		pause(ctx, time.Duration(rand.Int64N(int64(maxHistoryPause))))
-		return
+	case epochChanged:
+		state.hasView = false
+		pause(ctx, time.Duration(rand.Int64N(int64(maxEpochPause))))
 	}
-	state.recordSuccess()
-	state.pauseBetweenPolls(ctx)
 }
 
 // pauseBetweenPolls waits for the pause between two polls or until it is ended early.
@@ -142,6 +167,7 @@
 	state.backoff.Reset()
 	scope := state.Scope.Tagged(map[string]string{"table": state.Table})
 	scope.Gauge("table_revision").Update(float64(state.view.Revision))
+	scope.Gauge("table_epoch").Update(float64(state.view.Epoch))
 	scope.Gauge("table_answered_at_seconds").Update(float64(time.Now().UnixMilli()) / millisecondsPerSecond)
 	if state.isFailing() {
 		state.publish(state.view)
@@ -151,41 +177,58 @@
 	}
 }
 
-// apply brings the view up to date with an answered call. It returns ErrHistoryLost if
-// the whole table must be read again.
-func (state *watcherState) apply(answered call) error {
-	if answered.err != nil {
-		return answered.err
-	}
-	if !answered.isSnapshot {
-		state.applyChanges(answered)
-		return nil
-	}
-	if answered.revision < state.view.Revision {
+// apply brings the view up to date with an answered call, if it can. While it can't, the
+// earlier view stays in use.
+func (state *watcherState) apply(answered call, now time.Time) applyResult {
+	state.noteEpoch(answered)
+	isNewEpoch := state.view.Epoch < answered.position.Epoch && state.hasRows()
+	switch {
+	case isNewEpoch && (!answered.isSnapshot || answered.err != nil):
+		return epochChanged
+	case answered.err != nil:
+		return historyLost
+	case answered.isSnapshot && answered.position.Before(state.view.Position):
 		// A replica of the store that lags must not replace a newer view.
-		return ErrHistoryLost
+		return historyLost
+	case answered.isSnapshot:
+		state.applySnapshot(answered)
+	case len(answered.changes) > 0:
+		state.publish(state.view.apply(answered.changes, answered.position.Revision))
+	default:
+		state.view.Revision = max(state.view.Revision, answered.position.Revision)
 	}
-	view := View{Rows: map[string]Row{}, Revision: answered.revision, UnavailableAt: state.view.UnavailableAt}
+	state.followRestoration(now)
+	return upToDate
+}
+
+func (state *watcherState) applySnapshot(answered call) {
+	view := View{Position: answered.position, Rows: map[string]Row{}, UnavailableAt: state.view.UnavailableAt, RestoredAt: state.view.RestoredAt}
 	for _, row := range answered.rows {
 		view.Rows[row.Key] = row
 	}
+	if state.hasRows() && state.view.Epoch < view.Epoch {
+		view.RestoredAt = state.restoration.toldAt
+		view.UnavailableAt = later(view.UnavailableAt, view.RestoredAt)
+		state.restoration = state.restoration.withFirstView(state.view, view)
+	}
 	state.publish(view)
 	state.hasView = true
-	return nil
 }
 
-func (state *watcherState) applyChanges(answered call) {
-	if len(answered.changes) == 0 {
-		state.view.Revision = max(state.view.Revision, answered.revision)
-		return
+// hasRows reports whether any snapshot was read.
+func (state *watcherState) hasRows() bool { return state.view.Rows != nil }
+
+func later(left, right time.Time) time.Time {
+	if left.After(right) {
+		return left
 	}
-	state.publish(state.view.apply(answered.changes, answered.revision))
+	return right
 }
 
 // publish makes the view the current one and reports it.
 func (state *watcherState) publish(view View) {
 	if state.isFailing() {
-		view.UnavailableAt = state.failedAt
+		view.UnavailableAt = later(view.UnavailableAt, state.failedAt)
 		state.Logger.Info("store regained", zap.String("table", state.Table), zap.Int64("revision", view.Revision),
 			zap.Duration("lost_for", time.Since(state.failingSince)), zap.Int("failed_calls", state.failedCalls),
 			zap.Duration("after_last_failed_call", time.Since(state.failedAt)))
@@ -205,7 +248,9 @@
 // apply returns the view after the changes. It ignores changes that are older than the
 // known row, because a response of the store may be late.
 func (view View) apply(changes []Change, revision int64) View {
-	next := View{Rows: make(map[string]Row, len(view.Rows)), Revision: max(view.Revision, revision), UnavailableAt: view.UnavailableAt}
+	next := view
+	next.Rows = make(map[string]Row, len(view.Rows))
+	next.Revision = max(view.Revision, revision)
 	for key, row := range view.Rows {
 		next.Rows[key] = row
 	}
--- a/lib/platform/watcher_test.go
+++ b/lib/platform/watcher_test.go
@@ -24,17 +24,19 @@
 	waits       []time.Duration
 }
 
-func (feed *failingFeed) Snapshot(context.Context, string) ([]Row, int64, error) { return nil, 1, nil }
+func (feed *failingFeed) Snapshot(context.Context, string) ([]Row, Position, error) {
+	return nil, Position{Revision: 1}, nil
+}
 
-func (feed *failingFeed) Changes(ctx context.Context, _ string, _ int64, wait time.Duration) ([]Change, int64, error) {
+func (feed *failingFeed) Changes(ctx context.Context, _ string, _ Position, wait time.Duration) ([]Change, Position, error) {
 	feed.mutex.Lock()
 	defer feed.mutex.Unlock()
 	feed.waits = append(feed.waits, wait)
 	if !feed.isRecovered {
-		return nil, 0, ErrUnavailable
+		return nil, Position{}, ErrUnavailable
 	}
 	pause(ctx, wait)
-	return nil, 1, nil
+	return nil, Position{Revision: 1}, nil
 }
 
 // Guards against a watcher that detects the end of an outage only when a long poll
