Keep servers out of use that left before the store came back from an older copy

Cause: an older copy lists servers as ready that an entry has seen drain or leave. The next view would make them candidates again.

--- a/cmd/entry/routed/routed.go
+++ b/cmd/entry/routed/routed.go
@@ -240,6 +240,7 @@
 	view.LogDecodeErrors(entry.logger, decodeErrors)
 	var changes []placements.Change
 	entry.queue.UpdateFleet(func(fleet *placements.Fleet, now time.Time) {
+		fleet.SetRestoredAt(view.RestoredAt)
 		changes = fleet.UpdateServers(servers, entry.keepMissingUntil(view), now)
 	})
 	entry.logServerChanges(changes)
--- a/lib/placements/fleet.go
+++ b/lib/placements/fleet.go
@@ -98,6 +98,10 @@
 		// unfinished holds the counts of requests that still run at removed servers. Such a
 		// server may be listed again before they end.
 		unfinished map[string]ServerState
+		// departures holds the servers that left recently. restoredAt is when the store last
+		// came back from an older copy, zero if it never did.
+		departures map[string]departure
+		restoredAt time.Time
 		// entries are the entries that the last agent knew that reported.
 		entries EntryGroup
 		limits  serverLimits
@@ -127,6 +131,7 @@
 		dataCentre:       dataCentre,
 		servers:          map[string]ServerState{},
 		unfinished:       map[string]ServerState{},
+		departures:       map[string]departure{},
 		limits:           serverLimits{},
 		byService:        map[string][]string{},
 		predictionErrors: map[string]time.Duration{},
@@ -140,7 +145,7 @@
 func (fleet *Fleet) UpdateServers(servers []Server, keepMissingUntil, now time.Time) []Change {
 	var changes []Change
 	listed, addresses := map[string]bool{}, map[string]bool{}
-	for _, server := range CurrentServers(servers) {
+	for _, server := range fleet.withDepartures(CurrentServers(servers), now) {
 		listed[server.ID] = true
 		addresses[server.Address] = true
 		known, isKnown := fleet.servers[server.ID]
@@ -156,6 +161,11 @@
 		case known.isMissing():
 			changes = append(changes, Change{Server: server, Kind: Returned})
 		}
+		if server.Draining {
+			fleet.recordDeparture(server, now)
+		} else {
+			delete(fleet.departures, server.ID)
+		}
 		fleet.servers[server.ID] = known.WithServer(server)
 	}
 	for id, state := range fleet.servers {
@@ -170,7 +180,7 @@
 			continue
 		}
 		changes = append(changes, Change{Server: state.Server, Kind: Removed})
-		fleet.remove(state)
+		fleet.remove(state, now)
 	}
 	fleet.rebuildServiceIndex()
 	return changes
@@ -209,7 +219,7 @@
 			continue
 		}
 		changes = append(changes, Change{Server: state.Server, Kind: Expired})
-		fleet.remove(state)
+		fleet.remove(state, now)
 	}
 	if len(changes) > 0 {
 		fleet.rebuildServiceIndex()
@@ -217,8 +227,10 @@
 	return changes
 }
 
-// remove removes a server and remembers the requests that still run there.
-func (fleet *Fleet) remove(state ServerState) {
+// remove removes a server, and remembers that it left and the requests that still run
+// there.
+func (fleet *Fleet) remove(state ServerState, now time.Time) {
+	fleet.recordDeparture(state.Server, now)
 	delete(fleet.servers, state.Server.ID)
 	if state.inFlight > 0 {
 		fleet.unfinished[state.Server.ID] = state.unfinished()
--- a/lib/placements/server_state.go
+++ b/lib/placements/server_state.go
@@ -35,7 +35,8 @@
 	// Server is a backend server as the platform lists it, with a validated address.
 	// Versions holds the version of each model that it serves. Revision is that of its
 	// entry in the list: of two entries with one address, the one with the higher
-	// revision is the newer.
+	// revision is the newer. StartedUnixMilli is when it was started, zero if unknown; a
+	// server may be started again under its id.
 	Server struct {
 		ID         string
 		Service    string
@@ -45,6 +46,8 @@
 		Draining   bool
 		Versions   map[string]int
 		Revision   int64
+
+		StartedUnixMilli int64
 	}
 
 	// Report is an agent's report of the server beside it. A different incarnation than in
