--- a/cmd/agent/routed/routed.go
+++ b/cmd/agent/routed/routed.go
@@ -68,6 +68,10 @@
 		follower     *directives.Follower
 		operatorFeed *directives.PrefixFeed
 		servers      atomic.Pointer[[]placements.Server]
+		// restoredAt is when the store last came back from an older copy, zero if never. It
+		// belongs to the goroutine that follows the servers, which signals each return.
+		restoredAt    time.Time
+		storeRestored chan struct{}
 		// serversWanted ends the pause between two polls of the server list.
 		serversWanted chan struct{}
 		// lastRestart is the last restart of the engine, and status its newest status.
@@ -99,6 +103,7 @@
 		metrics:       metrics.New("firford_agent"),
 		logBuffer:     logBuffer,
 		serversWanted: make(chan struct{}, 1),
+		storeRestored: make(chan struct{}, 1),
 		self: hosts.Host{
 			Name: settings.BackendServerAddress, Role: hosts.RoleAgent, ChunkAddress: settings.PeerAddress(),
 			DataCentre: settings.DataCentre, Region: settings.Region,
@@ -146,6 +151,7 @@
 	group.Go(func() error { agent.reporter.Run(groupCtx); return nil })
 	group.Go(func() error { agent.follower.Run(groupCtx); return nil })
 	group.Go(func() error { agent.followServers(groupCtx); return nil })
+	group.Go(func() error { agent.restoreManifests(groupCtx); return nil })
 	group.Go(func() error { agent.logBuffer.ReportDropped(groupCtx, agent.metrics.Scope); return nil })
 	group.Go(func() error { agent.ensureParameters(groupCtx); return nil })
 	group.Go(func() error { agent.node.Run(groupCtx); return nil })
@@ -183,12 +189,7 @@
 
 // refreshServers makes the agent read the server list now. The plan of a version that
 // was just announced must not count on agents whose engines are leaving.
-func (agent *agent) refreshServers() {
-	select {
-	case agent.serversWanted <- struct{}{}:
-	default:
-	}
-}
+func (agent *agent) refreshServers() { signal(agent.serversWanted) }
 
 // serverPollPause returns the pause between two polls of the server list.
 func (agent *agent) serverPollPause() time.Duration {
@@ -206,6 +207,31 @@
 	view.LogDecodeErrors(agent.logger, decodeErrors)
 	current := placements.CurrentServers(servers)
 	agent.servers.Store(&current)
+	if !view.RestoredAt.Equal(agent.restoredAt) {
+		agent.restoredAt = view.RestoredAt
+		signal(agent.storeRestored)
+	}
+}
+
+// restoreManifests has the manifests of this agent saved again whenever the store came
+// back from an older copy.
+func (agent *agent) restoreManifests(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-agent.storeRestored:
+			agent.node.RestoreManifests(ctx)
+		}
+	}
+}
+
+// signal sends on the channel unless a signal is pending.
+func signal(pending chan<- struct{}) {
+	select {
+	case pending <- struct{}{}:
+	default:
+	}
 }
 
 // applyAnnouncement applies the announcement of an entry. It returns true if the
