Probe a store that does not answer instead of overlapping whole reads

The beginning of the last unanswered probe or call still bounds how early the store can have returned.

TestTablesAreTransferredOnce: four transfers at once before, one now.

--- a/cmd/agent/routed/routed.go
+++ b/cmd/agent/routed/routed.go
@@ -33,11 +33,11 @@
 	// storePollWait is how long polls of the store wait for changes. It is also the
 	// interval between reads of the announced versions, if no entry sends them sooner.
 	storePollWait = 4 * time.Second
-	// storeRetryInterval bounds the interval between calls that the store does not answer,
+	// storeProbeInterval bounds the interval between probes of a store that does not answer,
 	// and storeRestorePause spreads the reads after it came back from an older copy. Both
 	// are longer than those of entries, since there are several agents for each entry and
 	// entries tell them about new versions.
-	storeRetryInterval = 4 * time.Second
+	storeProbeInterval = 4 * time.Second
 	storeRestorePause  = 8 * time.Second
 	// unlistedPollPause and listedPollPause are the pauses between two polls of the
 	// server list, which changes with each engine that loads a version. For up to
@@ -107,17 +107,16 @@
 		logBuffer:     logBuffer,
 		serversWanted: make(chan struct{}, 1),
 		storeRestored: make(chan struct{}, 1),
-		reachability:  platform.NewReachability(),
 		self: hosts.Host{
 			Name: settings.BackendServerAddress, Role: hosts.RoleAgent, ChunkAddress: settings.PeerAddress(),
 			DataCentre: settings.DataCentre, Region: settings.Region,
 		},
 	}
 	agent.store = adapter.NewStore(settings.PlatformAddress, agent.metrics.Scope)
+	agent.reachability = platform.NewReachability(agent.store, storeProbeInterval)
 	agent.operatorFeed = directives.NewPrefixFeed(agent.store, agent.store, adapter.VersionKeyPrefix)
 	agent.follower = directives.New(directives.Dependencies{
-		Feed: agent.operatorFeed, Table: adapter.OperatorTable, PollWait: storePollWait, RetryInterval: storeRetryInterval,
-		RestorePause: storeRestorePause, Reachability: agent.reachability,
+		Feed: agent.operatorFeed, Table: adapter.OperatorTable, PollWait: storePollWait, RestorePause: storeRestorePause, Reachability: agent.reachability,
 		VersionTimeout: settings.VersionTimeout,
 		Decode:         adapter.DecodeDesiredState, RoutesChanged: func(routes.Table) {}, VersionAnnounced: agent.refreshServers, Logger: logger, Scope: agent.metrics.Scope,
 	})
@@ -187,8 +186,7 @@
 
 func (agent *agent) followServers(ctx context.Context) {
 	platform.Watcher{
-		Feed: agent.store, Table: adapter.ServerTable, PollWait: storePollWait, PollPause: agent.serverPollPause, RetryInterval: storeRetryInterval,
-		RestorePause: storeRestorePause, Reachability: agent.reachability, Wake: agent.serversWanted,
+		Feed: agent.store, Table: adapter.ServerTable, PollWait: storePollWait, PollPause: agent.serverPollPause, RestorePause: storeRestorePause, Reachability: agent.reachability, Wake: agent.serversWanted,
 		Logger: agent.logger, Scope: agent.metrics.Scope, OnUpdate: agent.applyServerList,
 	}.Run(ctx)
 }
--- a/cmd/entry/routed/recovery_test.go
+++ b/cmd/entry/routed/recovery_test.go
@@ -89,6 +89,14 @@
 	}
 }
 
+func (feed *scriptedFeed) Probe(ctx context.Context) (platform.Position, error) {
+	if feed.isSilent() {
+		sleep(ctx, silentCallTime)
+		return platform.Position{}, platform.ErrUnavailable
+	}
+	return platform.Position{}, nil
+}
+
 func (feed *scriptedFeed) changesAfter(revision int64) ([]platform.Change, int64) {
 	feed.mutex.Lock()
 	defer feed.mutex.Unlock()
@@ -110,12 +118,13 @@
 
 // newTestEntry returns an entry that follows the servers of the feed and has no
 // connections.
-func newTestEntry(feed platform.Feed) *entry {
+func newTestEntry(feed tableStore) *entry {
 	entry := &entry{
 		settings: processes.RoutedEntry{Routed: processes.Routed{DataCentre: "nairobi"}, ReconnectTime: reconnectWindow},
-		logger:   zap.NewNop(), metrics: &metrics.Metrics{Scope: tally.NoopScope}, store: feed, reachability: platform.NewReachability(),
-		queue:    gateways.NewAdmissionQueue(placements.NewFleet("nairobi"), func(gateways.Notice) {}),
-		follower: directives.New(directives.Dependencies{Logger: zap.NewNop(), Scope: tally.NoopScope}),
+		logger:   zap.NewNop(), metrics: &metrics.Metrics{Scope: tally.NoopScope}, store: feed,
+		reachability: platform.NewReachability(feed, storeProbeInterval),
+		queue:        gateways.NewAdmissionQueue(placements.NewFleet("nairobi"), func(gateways.Notice) {}),
+		follower:     directives.New(directives.Dependencies{Logger: zap.NewNop(), Scope: tally.NoopScope}),
 	}
 	entry.agents.Store(&[]netip.AddrPort{})
 	entry.gateway = gateways.New(gateways.Dependencies{
--- a/cmd/entry/routed/routed.go
+++ b/cmd/entry/routed/routed.go
@@ -42,10 +42,10 @@
 	// changes at once would fill the links between regions.
 	operatorPollPause = 150 * time.Millisecond
 	serverPollPause   = 500 * time.Millisecond
-	// storeRetryInterval bounds, with its jitter of a half, how late an entry notices that
+	// storeProbeInterval bounds, with its jitter of a half, how late an entry notices that
 	// the store answers again. Servers that are missing from the list are kept that much
 	// shorter.
-	storeRetryInterval = 450 * time.Millisecond
+	storeProbeInterval = 450 * time.Millisecond
 	// storeRestorePause spreads the reads of all tables by all entries after the store came
 	// back from an older copy.
 	storeRestorePause = 1500 * time.Millisecond
@@ -74,13 +74,19 @@
 	shutdownMargin = 400 * time.Millisecond
 )
 
+// tableStore is the part of the platform's store that an entry uses.
+type tableStore interface {
+	platform.Feed
+	platform.Prober
+}
+
 // entry holds the components of one entry process.
 type entry struct {
 	settings      processes.RoutedEntry
 	logger        *zap.Logger
 	metrics       *metrics.Metrics
 	logBuffer     *logs.Buffer
-	store         platform.Feed
+	store         tableStore
 	reachability  *platform.Reachability
 	queue         *gateways.AdmissionQueue
 	gateway       *gateways.Gateway
@@ -107,14 +113,13 @@
 		logger:    logger,
 		metrics:   metrics.New("firford_entry"),
 		logBuffer: logBuffer,
-
-		reachability: platform.NewReachability(),
 	}
 	entry.store = adapter.NewStore(settings.PlatformAddress, entry.metrics.Scope)
+	entry.reachability = platform.NewReachability(entry.store, storeProbeInterval)
 	entry.queue = gateways.NewAdmissionQueue(placements.NewFleet(settings.DataCentre), entry.notifyAgent)
 	entry.follower = directives.New(directives.Dependencies{
 		Feed: entry.store, Table: adapter.OperatorTable, PollWait: operatorPollWait, PollPause: operatorPollPause,
-		RetryInterval: storeRetryInterval, RestorePause: storeRestorePause, Reachability: entry.reachability,
+		RestorePause: storeRestorePause, Reachability: entry.reachability,
 		VersionTimeout: settings.VersionTimeout - versionMargin, EarlierVersionTimeout: earlierVersionTimeout,
 		Decode: adapter.DecodeDesiredState, RoutesChanged: entry.applyRoutes, VersionAnnounced: entry.announceVersions, Logger: logger, Scope: entry.metrics.Scope,
 	})
@@ -208,7 +213,7 @@
 func (entry *entry) followServers(ctx context.Context) {
 	platform.Watcher{
 		Feed: entry.store, Table: adapter.ServerTable, PollWait: serverPollWait, PollPause: platform.FixedPause(serverPollPause),
-		RetryInterval: storeRetryInterval, RestorePause: storeRestorePause, Reachability: entry.reachability,
+		RestorePause: storeRestorePause, Reachability: entry.reachability,
 		Logger: entry.logger, Scope: entry.metrics.Scope, OnUpdate: entry.applyServerList, OnAnswer: entry.confirmServerList,
 	}.Run(ctx)
 }
--- a/lib/platform/calls.go
+++ b/lib/platform/calls.go
@@ -1,35 +1,16 @@
 package platform
 
-// While the store does not answer, the watcher begins further calls at short intervals,
-// although earlier ones are still open. A call that a partition has swallowed would
-// otherwise delay the recovery by its own timeout. The beginning of the last call that
-// was not answered also bounds how early the store can have returned.
+// A watcher makes one call to the store at a time. After a call without an answer it
+// waits until the store answers a probe.
 
 import (
 	"context"
 	"errors"
-	"slices"
 	"time"
 
-	"github.com/cenkalti/backoff/v5"
 	"go.uber.org/zap"
 )
 
-const (
-	// minRetryInterval is the first interval between two calls while the store does not
-	// answer. The intervals have a jitter, so that a fleet whose processes all lose the
-	// store at once does not overload it.
-	minRetryInterval = 100 * time.Millisecond
-	// retryGrowth is the factor between two intervals. The first retry serves broken
-	// connections, so it says little about the second.
-	retryGrowth = 3
-	// maxOpenCalls bounds the calls without an answer.
-	maxOpenCalls = 4
-	// proberTurns is for how many retry intervals the watcher that calls the store goes on
-	// to do so for all watchers of its process.
-	proberTurns = 3
-)
-
 // errEarlierEpoch is the error of a late answer that the store gave before it came back
 // from an older copy.
 var errEarlierEpoch = errors.New("the answer is of an earlier epoch of the store")
@@ -49,63 +30,44 @@
 	return ended.err == nil || errors.Is(ended.err, ErrHistoryLost)
 }
 
-func newRetryIntervals(longest time.Duration) *backoff.ExponentialBackOff {
-	intervals := backoff.NewExponentialBackOff()
-	intervals.InitialInterval = min(minRetryInterval, longest)
-	intervals.MaxInterval = longest
-	intervals.Multiplier = retryGrowth
-	return intervals
-}
-
 // awaitAnswer calls the store until it answers. It returns false if the context ends
-// before. While the store does not answer, another watcher of the process may call it
-// instead.
+// before.
 func (state *watcherState) awaitAnswer(ctx context.Context) (call, bool) {
-	if told, isNew := state.toldByOthers(); isNew {
-		return told, true
+	for ctx.Err() == nil {
+		if told, isNew := state.toldByOthers(); isNew {
+			return told, true
+		}
+		ended := state.call(ctx)
+		if ended.isAnswered() && ended.position.Epoch < state.knownEpoch() {
+			ended.err = errEarlierEpoch
+		}
+		state.Reachability.recordEpoch(ended.position.Epoch)
+		if ended.isAnswered() {
+			return ended, true
+		}
+		if ctx.Err() != nil {
+			break
+		}
+		state.recordFailure(ended)
+		state.Reachability.Await(ctx)
 	}
-	callCtx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	ended := make(chan call, maxOpenCalls)
-	open := []time.Time{state.begin(callCtx, ended)}
-	var retry <-chan time.Time
-	var reached <-chan struct{}
+	return call{}, false
+}
+
+// call makes one call to the store.
+func (state *watcherState) call(ctx context.Context) call {
+	wait := state.PollWait
 	if state.isFailing() {
-		retry = time.After(state.backoff.NextBackOff())
+		// A call without a wait is answered soonest.
+		wait = 0
 	}
-	for {
-		select {
-		case <-ctx.Done():
-			return call{}, false
-		case <-retry:
-			retry = time.After(state.backoff.NextBackOff())
-			var mayCall bool
-			mayCall, reached = state.Reachability.mayCall(state, time.Now(), time.Now().Add(proberTurns*state.RetryInterval))
-			if mayCall && len(open) < maxOpenCalls {
-				open = append(open, state.begin(callCtx, ended))
-			}
-		case <-reached:
-			reached = nil
-			if told, isNew := state.toldByOthers(); isNew {
-				return told, true
-			}
-			open = append(open, state.begin(callCtx, ended))
-		case each := <-ended:
-			open = slices.DeleteFunc(open, each.startedAt.Equal)
-			if each.isAnswered() && each.position.Epoch < state.knownEpoch() {
-				each.err = errEarlierEpoch
-			}
-			if each.isAnswered() {
-				state.Reachability.recordAnswer(each.position.Epoch)
-				state.recordOvertaken(open, each.startedAt)
-				return each, true
-			}
-			if !state.isFailing() {
-				retry = time.After(state.backoff.NextBackOff())
-			}
-			state.recordFailure(each)
-		}
+	result := call{startedAt: time.Now(), isSnapshot: !state.hasView}
+	if result.isSnapshot {
+		result.rows, result.position, result.err = state.Feed.Snapshot(ctx, state.Table)
+	} else {
+		result.changes, result.position, result.err = state.Feed.Changes(ctx, state.Table, state.view.Position, wait)
 	}
+	return result
 }
 
 // toldByOthers returns an answer that tells of the newest epoch, if another watcher of
@@ -116,27 +78,6 @@
 	return told, state.hasRows() && epoch > state.knownEpoch()
 }
 
-// begin starts a call and returns when it began.
-func (state *watcherState) begin(ctx context.Context, ended chan<- call) time.Time {
-	startedAt := time.Now()
-	wait := state.PollWait
-	if state.isFailing() {
-		// A call without a wait detects soonest that the store has recovered.
-		wait = 0
-	}
-	isSnapshot, after := !state.hasView, state.view.Position
-	go func() {
-		result := call{startedAt: startedAt, isSnapshot: isSnapshot}
-		if isSnapshot {
-			result.rows, result.position, result.err = state.Feed.Snapshot(ctx, state.Table)
-		} else {
-			result.changes, result.position, result.err = state.Feed.Changes(ctx, state.Table, after, wait)
-		}
-		ended <- result
-	}()
-	return startedAt
-}
-
 // isFailing reports whether the store has not answered the last calls.
 func (state *watcherState) isFailing() bool { return state.failedCalls > 0 }
 
@@ -146,20 +87,6 @@
 		state.failingSince = failed.startedAt
 	}
 	state.failedCalls++
-	state.recordUnanswered(failed.startedAt)
+	state.Reachability.recordFailure(failed.startedAt)
 	state.noteEpoch(failed)
 }
-
-// recordOvertaken records the open calls that began before one that was answered.
-func (state *watcherState) recordOvertaken(open []time.Time, answeredStart time.Time) {
-	for _, startedAt := range open {
-		if startedAt.Before(answeredStart) {
-			state.recordUnanswered(startedAt)
-		}
-	}
-}
-
-func (state *watcherState) recordUnanswered(startedAt time.Time) {
-	state.failedAt = later(state.failedAt, startedAt)
-	state.Reachability.recordUnanswered(startedAt)
-}
--- a/lib/platform/machine_test.go
+++ b/lib/platform/machine_test.go
@@ -82,8 +82,9 @@
 			t.Fatalf("the store never was at %v", view.Position)
 		}
 		state := &watcherState{
-			Watcher: Watcher{Table: "servers", Logger: zap.NewNop(), Scope: tally.NoopScope, OnUpdate: check},
-			backoff: newRetryIntervals(time.Second),
+			Watcher: Watcher{
+				Table: "servers", Logger: zap.NewNop(), Scope: tally.NoopScope, OnUpdate: check, Reachability: NewReachability(nil, time.Second),
+			},
 		}
 		deliver := func(answered call) {
 			if answered.position.Epoch < state.knownEpoch() {
--- a/lib/platform/restore_load_test.go
+++ b/lib/platform/restore_load_test.go
@@ -36,6 +36,8 @@
 	}
 }
 
+func (feed *drillFeed) Probe(context.Context) (Position, error) { return feed.call() }
+
 func (feed *drillFeed) Snapshot(context.Context, string) ([]Row, Position, error) {
 	position, err := feed.call()
 	return nil, position, err
@@ -73,10 +75,10 @@
 			feed.backFrom = feed.awayFrom.Add(outage * time.Second)
 			follow := func(count int, wait, retry, restore time.Duration, pauses ...time.Duration) {
 				for range count {
-					reachability := NewReachability()
+					reachability := NewReachability(feed, retry)
 					for _, pauseTime := range pauses {
 						go Watcher{
-							Feed: feed, Table: "t", PollWait: wait, PollPause: FixedPause(pauseTime), RetryInterval: retry, RestorePause: restore,
+							Feed: feed, Table: "t", PollWait: wait, PollPause: FixedPause(pauseTime), RestorePause: restore,
 							Reachability: reachability, Logger: zap.NewNop(), Scope: tally.NoopScope, OnUpdate: func(View) {},
 						}.Run(ctx)
 					}
--- a/lib/platform/watcher.go
+++ b/lib/platform/watcher.go
@@ -10,7 +10,6 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/cenkalti/backoff/v5"
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 )
@@ -59,17 +58,15 @@
 
 	// Watcher follows one table. PollWait is how long a poll waits for a change.
 	// PollPause returns the pause between two polls, which lets one poll return several
-	// changes that are made within a short time. While the store does not answer, calls
-	// begin at intervals that grow up to RetryInterval. After the store came back from an
-	// older copy, the table is read again within RestorePause.
+	// changes that are made within a short time. After the store came back from an older
+	// copy, the table is read again within RestorePause. Reachability is shared by the
+	// watchers of a process.
 	Watcher struct {
-		Feed          Feed
-		Table         string
-		PollWait      time.Duration
-		PollPause     func() time.Duration
-		RetryInterval time.Duration
-		RestorePause  time.Duration
-		// Reachability is shared by the watchers of a process. It may be nil.
+		Feed         Feed
+		Table        string
+		PollWait     time.Duration
+		PollPause    func() time.Duration
+		RestorePause time.Duration
 		Reachability *Reachability
 		// Wake ends a pause between two polls early. It may be nil.
 		Wake   <-chan struct{}
@@ -86,15 +83,13 @@
 
 	// watcherState is the state of a running watcher. hasView is set while the view can
 	// be brought up to date by changes alone. failedCalls counts the calls that failed in
-	// a row, the first of which began at failingSince and the last at failedAt.
+	// a row, the first of which began at failingSince.
 	watcherState struct {
 		Watcher
 		view         View
 		hasView      bool
 		failedCalls  int
 		failingSince time.Time
-		failedAt     time.Time
-		backoff      *backoff.ExponentialBackOff
 		restoration  restoration
 	}
 
@@ -117,7 +112,7 @@
 
 // Run follows the table until the context ends.
 func (watcher Watcher) Run(ctx context.Context) {
-	state := &watcherState{Watcher: watcher, backoff: newRetryIntervals(watcher.RetryInterval)}
+	state := &watcherState{Watcher: watcher}
 	for ctx.Err() == nil {
 		state.poll(ctx)
 	}
@@ -164,7 +159,6 @@
 }
 
 func (state *watcherState) recordSuccess() {
-	state.backoff.Reset()
 	scope := state.Scope.Tagged(map[string]string{"table": state.Table})
 	scope.Gauge("table_revision").Update(float64(state.view.Revision))
 	scope.Gauge("table_epoch").Update(float64(state.view.Epoch))
@@ -228,11 +222,11 @@
 // publish makes the view the current one and reports it.
 func (state *watcherState) publish(view View) {
 	if state.isFailing() {
-		state.failedAt = later(state.failedAt, state.Reachability.lastFailedAt())
-		view.UnavailableAt = later(view.UnavailableAt, state.failedAt)
+		failedAt := state.Reachability.lastFailedAt()
+		view.UnavailableAt = later(view.UnavailableAt, failedAt)
 		state.Logger.Info("store regained", zap.String("table", state.Table), zap.Int64("revision", view.Revision),
 			zap.Duration("lost_for", time.Since(state.failingSince)), zap.Int("failed_calls", state.failedCalls),
-			zap.Duration("after_last_failed_call", time.Since(state.failedAt)))
+			zap.Duration("after_last_failed_call", time.Since(failedAt)))
 		state.failedCalls = 0
 	}
 	state.view = view
--- a/lib/platform/watcher_test.go
+++ b/lib/platform/watcher_test.go
@@ -17,11 +17,22 @@
 const retryInterval = time.Second
 
 // failingFeed is a feed that fails until isRecovered is set. It records the wait of
-// each poll.
+// each poll, zero for a probe, and counts the polls.
 type failingFeed struct {
 	mutex       sync.Mutex
 	isRecovered bool
 	waits       []time.Duration
+	polls       int
+}
+
+func (feed *failingFeed) Probe(context.Context) (Position, error) {
+	feed.mutex.Lock()
+	defer feed.mutex.Unlock()
+	feed.waits = append(feed.waits, 0)
+	if !feed.isRecovered {
+		return Position{}, ErrUnavailable
+	}
+	return Position{Revision: 1}, nil
 }
 
 func (feed *failingFeed) Snapshot(context.Context, string) ([]Row, Position, error) {
@@ -32,6 +43,7 @@
 	feed.mutex.Lock()
 	defer feed.mutex.Unlock()
 	feed.waits = append(feed.waits, wait)
+	feed.polls++
 	if !feed.isRecovered {
 		return nil, Position{}, ErrUnavailable
 	}
@@ -50,7 +62,7 @@
 		defer cancel()
 		resumed := make(chan View, 1)
 		go Watcher{
-			Feed: feed, Table: "op", PollWait: 20 * time.Second, PollPause: FixedPause(0), RetryInterval: retryInterval, Logger: zap.NewNop(), Scope: tally.NoopScope,
+			Feed: feed, Table: "op", PollWait: 20 * time.Second, PollPause: FixedPause(0), Reachability: NewReachability(feed, retryInterval), Logger: zap.NewNop(), Scope: tally.NoopScope,
 			OnUpdate: func(view View) {
 				if !view.UnavailableAt.IsZero() {
 					resumed <- view
@@ -86,7 +98,7 @@
 		defer cancel()
 		wake := make(chan struct{}, 1)
 		go Watcher{
-			Feed: feed, Table: "servers", PollPause: FixedPause(time.Hour), Wake: wake, Logger: zap.NewNop(), Scope: tally.NoopScope,
+			Feed: feed, Table: "servers", PollPause: FixedPause(time.Hour), Reachability: NewReachability(feed, retryInterval), Wake: wake, Logger: zap.NewNop(), Scope: tally.NoopScope,
 			OnUpdate: func(View) {},
 		}.Run(ctx)
 		count := func() int {
@@ -116,13 +128,13 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
 		go Watcher{
-			Feed: feed, Table: "servers", PollWait: time.Second, PollPause: FixedPause(0), RetryInterval: retryInterval, Logger: zap.New(core), Scope: tally.NoopScope,
+			Feed: feed, Table: "servers", PollWait: time.Second, PollPause: FixedPause(0), Reachability: NewReachability(feed, retryInterval), Logger: zap.New(core), Scope: tally.NoopScope,
 			OnUpdate: func(View) {},
 		}.Run(ctx)
 		time.Sleep(10 * time.Second)
 		feed.mutex.Lock()
 		feed.isRecovered = true
-		failedCalls = len(feed.waits)
+		failedCalls = feed.polls
 		feed.mutex.Unlock()
 		time.Sleep(2 * retryInterval)
 	})
@@ -135,3 +147,52 @@
 		convey.So(fields["after_last_failed_call"], convey.ShouldBeBetween, 0, 2*retryInterval)
 	})
 }
+
+// slowFeed is a feed that is unavailable at first, and then answers slowly, as over a
+// full link. It records how many of its calls that transfer rows are open at once.
+type slowFeed struct {
+	failingFeed
+	answerTime time.Duration
+	open, most int
+}
+
+func (feed *slowFeed) Changes(ctx context.Context, table string, after Position, wait time.Duration) ([]Change, Position, error) {
+	feed.mutex.Lock()
+	isRecovered := feed.isRecovered
+	feed.open++
+	feed.most = max(feed.most, feed.open)
+	feed.mutex.Unlock()
+	defer func() {
+		feed.mutex.Lock()
+		feed.open--
+		feed.mutex.Unlock()
+	}()
+	if isRecovered {
+		pause(ctx, feed.answerTime)
+	}
+	return feed.failingFeed.Changes(ctx, table, after, wait)
+}
+
+// Guards against a watcher that transfers a table several times at once over a link that
+// is full after an outage: it then took seconds longer to get any of the transfers.
+func TestTablesAreTransferredOnce(t *testing.T) {
+	feed := &slowFeed{answerTime: 3 * time.Second}
+	recovered := false
+	synctest.Test(t, func(*testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go Watcher{
+			Feed: feed, Table: "op", PollWait: time.Second, PollPause: FixedPause(time.Hour), Reachability: NewReachability(feed, 450*time.Millisecond),
+			Logger: zap.NewNop(), Scope: tally.NoopScope, OnUpdate: func(view View) { recovered = !view.UnavailableAt.IsZero() },
+		}.Run(ctx)
+		time.Sleep(2 * time.Hour)
+		feed.mutex.Lock()
+		feed.isRecovered = true
+		feed.mutex.Unlock()
+		time.Sleep(10 * time.Second)
+	})
+	convey.Convey("Given a store that answers slowly after an outage, a watcher makes one call at a time", t, func() {
+		convey.So(feed.most, convey.ShouldEqual, 1)
+		convey.So(recovered, convey.ShouldBeTrue)
+	})
+}
