Relay a server's error if no other server is left

Cause: the answer was dropped as soon as the retry was decided, and a request that all servers have had waited in the queue like any other. Change: the last answer of a server that failed stays, and goes to the caller if the request ends without a better one; a request that was sent to all servers is refused at once.

TestServerErrorIsRelayedIfNoOtherServerIsLeft: 502 after 0.8 s before, the server's 500 within 0.1 s now.

--- a/lib/gateways/error_responses.go
+++ b/lib/gateways/error_responses.go
@@ -31,13 +31,18 @@
 	request.respond(http.StatusServiceUnavailable, reason, retryAfter)
 }
 
-// fail answers a request whose outcome is unknown or that ran without success. If
-// the caller already has part of a stream, it closes the caller's connection.
+// fail answers a request whose outcome is unknown or that ran without success. If a
+// server answered it with an error, that is the answer. If the caller already has part
+// of a stream, it closes the caller's connection.
 func (request *request) fail(reason reason) {
 	if request.streaming {
 		request.recordOwnEnd(0, reason)
 		panic(http.ErrAbortHandler)
 	}
+	if request.errorAnswer != nil {
+		request.deliver(request.errorAnswer)
+		return
+	}
 	status := http.StatusBadGateway
 	if !time.Now().Before(request.deadline) {
 		status = http.StatusGatewayTimeout
--- a/lib/gateways/gateway.go
+++ b/lib/gateways/gateway.go
@@ -167,8 +167,10 @@
 	// sentCount counts those to which the request was sent.
 	triedServers []string
 	sentCount    int
-	// mayHaveRun is set as soon as a server may have run the request.
-	mayHaveRun bool
+	// mayHaveRun is set as soon as a server may have run the request. errorAnswer is the
+	// last answer of a server that ran it and failed, nil if there is none.
+	mayHaveRun  bool
+	errorAnswer *bufferedAnswer
 	// placedAt is when the request got its last reservation, answerBeganAt when the
 	// last answer began, and predictedDelay the predicted time between the two.
 	placedAt, answerBeganAt time.Time
--- a/lib/gateways/gateways_test.go
+++ b/lib/gateways/gateways_test.go
@@ -257,6 +257,22 @@
 	})
 }
 
+// Guards against a server's error that is replaced by one of the gateway, because the
+// request was to be sent once more and no other server could take it, and against a
+// caller that waits for a server although all have had its request.
+func TestServerErrorIsRelayedIfNoOtherServerIsLeft(t *testing.T) {
+	convey.Convey("Given a service whose only server ran a repeatable request and failed", t, func() {
+		server := newScriptedServer(t, answer(http.StatusInternalServerError, signedHeader+"Detail: no stock\r\n", "failed"))
+		began := time.Now()
+		status, header, body, err := newGatewayFixture(t, 1, server).post(t, "/again/", "")
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(status, convey.ShouldEqual, http.StatusInternalServerError)
+		convey.So(header.Get("Detail"), convey.ShouldEqual, "no stock")
+		convey.So(body, convey.ShouldEqual, "failed")
+		convey.So(time.Since(began), convey.ShouldBeLessThan, 100*time.Millisecond)
+	})
+}
+
 // Guards against reuse of an idle connection that the server has closed or that
 // holds unrequested bytes.
 func TestIdleConnectionsAreCheckedBeforeReuse(t *testing.T) {
--- a/lib/gateways/retries.go
+++ b/lib/gateways/retries.go
@@ -124,6 +124,7 @@
 		case serverError:
 			request.sentCount++
 			request.mayHaveRun = true
+			request.errorAnswer = outcome.answer
 			request.log(eventServerError, zap.String("server", server.ID), zap.String("address", server.Address), zap.Int("server_status", outcome.answer.status))
 			if request.match.Route.RetryMode != routes.Idempotent || !request.mayRetry(ctx) {
 				request.deliver(outcome.answer)
--- a/lib/placements/candidates.go
+++ b/lib/placements/candidates.go
@@ -81,6 +81,11 @@
 	return counts.Usable+counts.Full+counts.Limited+counts.Slow == 0 && counts.Closed+counts.Outdated > 0
 }
 
+// IsExhausted reports whether the request was already sent to all servers.
+func (counts CandidateCounts) IsExhausted() bool {
+	return counts.Tried > 0 && counts.Tried == counts.Servers()
+}
+
 // exclusion returns what excludes the server for the request, and the predicted time
 // to its first event, zero for plain services.
 func (fleet *Fleet) exclusion(state ServerState, requirements Requirements, overcommit int, now time.Time) (exclusion, time.Duration) {
--- a/lib/placements/dispatcher.go
+++ b/lib/placements/dispatcher.go
@@ -112,7 +112,7 @@
 		}
 	}
 	wait := dispatcher.expectedWait(waiter.Requirements, ahead, now)
-	if now.Add(wait).After(waiter.StartBy) {
+	if now.Add(wait).After(waiter.StartBy) || dispatcher.isExhausted(waiter.Requirements, now) {
 		return dispatcher.newRefusal(waiter.Requirements, ahead, wait, now)
 	}
 	dispatcher.lastNumber++
@@ -121,6 +121,12 @@
 	return Queued{Number: waiter.Number}
 }
 
+// isExhausted reports whether the request was already sent to all servers, so that no
+// wait helps it.
+func (dispatcher *Dispatcher) isExhausted(requirements Requirements, now time.Time) bool {
+	return len(requirements.Tried) > 0 && dispatcher.fleet.CountCandidates(requirements, overcommit(requirements), now).IsExhausted()
+}
+
 // expectedWait estimates how long a request waits with this many others ahead. While
 // no server can take requests, the rate of recent starts says nothing about the rate
 // after that, and up to maxStalledQueue requests wait as long as they may.
