Refuse a repeat that holds no number instead of ending the process

What an operator saw: an entry that ended (panic: json: unsupported value: NaN), when a request id that was accepted came again with a weight that is not a number. Anybody with a credential could stop an entry so.

Cause: a repeat is compared with the accepted change before it is validated, and the comparison encoded it with mustEncode. An object that cannot be encoded was never accepted, so it now counts as different. The other uses of mustEncode follow the validation, which refuses such numbers. TestLostAnswer ends by the panic before.

--- a/lib/configurations/simulation_test.go
+++ b/lib/configurations/simulation_test.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -430,7 +431,7 @@
 
 // Guards against a change that is applied twice or reported incorrectly because
 // the answer to its write was lost, and against a request id that is reused for a
-// different change.
+// different change, also for one that holds no number and ended the process.
 func TestLostAnswer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		simulation := newSimulation(1)
@@ -448,6 +449,10 @@
 		if other := simulation.submit(4, request); !errors.As(other.err, &reused) {
 			t.Errorf("different change with the same request id: %v", other.err)
 		}
+		request.Object = Organisation{Name: request.Name, Weight: math.NaN(), TokenHash: fmt.Sprintf("%064x", 1)}
+		if other := simulation.submit(4, request); !errors.As(other.err, &reused) {
+			t.Errorf("change that cannot be encoded with the same request id: %v", other.err)
+		}
 		simulation.table.setFaults(true, noWriteFault, 0)
 		if refused := simulation.submit(4, simulation.newRequest(4, step{object: 2})); !errors.Is(refused.err, platform.ErrUnavailable) {
 			t.Errorf("change during an outage: %v", refused.err)
--- a/lib/configurations/store.go
+++ b/lib/configurations/store.go
@@ -279,12 +279,17 @@
 	return change, true, nil
 }
 
-// matches reports whether the change is the result of the request.
+// matches reports whether the change is the result of the request. The request may not
+// have been validated: an object that cannot be encoded was never accepted.
 func (request Request) matches(change Change) bool {
 	if change.Kind != request.Kind || change.Name != request.Name || change.Intent != request.Intent {
 		return false
 	}
-	return request.Intent != "" || bytes.Equal(mustEncode(change.Object), mustEncode(request.Object))
+	if request.Intent != "" {
+		return true
+	}
+	requested, err := json.Marshal(request.Object)
+	return err == nil && bytes.Equal(mustEncode(change.Object), requested)
 }
 
 // transact writes the object, the log row, the request row and the new revision in
