Let the fake platform keep what it has answered

An object was visible before it was saved, and a store with as many objects as it takes refused to replace one. A stand-in that loses data proves nothing.

The incomplete line is cut off at the start, an object is saved before readers see it, and a replacement counts as none.

--- a/cmd/fakeplatform/server/server.go
+++ b/cmd/fakeplatform/server/server.go
@@ -11,6 +11,7 @@
 	"context"
 	"crypto/subtle"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -77,6 +78,8 @@
 	}
 )
 
+var errTooManyObjects = errors.New("too many objects")
+
 // New returns a server whose only state is the hosts of the settings.
 func New(settings Settings) *Server {
 	faults := newFaults(settings.MembershipLag.Milliseconds())
@@ -342,21 +345,26 @@
 	if !ctx.IsPut() || !ok || !server.admitWrite(ctx, key) {
 		return
 	}
-	server.mutex.Lock()
-	full := len(server.objects) >= maxObjects
-	if !full {
-		server.objects[name] = append([]byte(nil), content...)
-	}
-	server.mutex.Unlock()
-	if full {
-		ctx.Error("too many objects", fasthttp.StatusInsufficientStorage)
+	if status, err := server.putObject(name, append([]byte(nil), content...)); err != nil {
+		ctx.Error(err.Error(), status)
 		return
 	}
+	server.maybeLoseAnswer(ctx)
+}
+
+// putObject saves an object and then makes it visible. An error comes with the status of
+// the answer.
+func (server *Server) putObject(name string, content []byte) (int, error) {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	if _, replaces := server.objects[name]; !replaces && len(server.objects) >= maxObjects {
+		return fasthttp.StatusInsufficientStorage, errTooManyObjects
+	}
 	if err := server.state.save(objectsFolder, name, content); err != nil {
-		ctx.Error(err.Error(), fasthttp.StatusServiceUnavailable)
-		return
+		return fasthttp.StatusServiceUnavailable, err
 	}
-	server.maybeLoseAnswer(ctx)
+	server.objects[name] = content
+	return fasthttp.StatusOK, nil
 }
 
 func (server *Server) handleWeights(ctx *fasthttp.RequestCtx, name string) {
--- a/cmd/fakeplatform/server/state.go
+++ b/cmd/fakeplatform/server/state.go
@@ -18,7 +18,6 @@
 	tableFile     = "table.jsonl"
 	objectsFolder = "objects"
 	weightsFolder = "weights"
-	maxStateLine  = 16 << 20
 )
 
 type (
@@ -63,7 +62,8 @@
 }
 
 // replayJournal applies the journal to the table. An incomplete last line belongs
-// to a transaction whose caller received no response.
+// to a transaction whose caller received no response. It is cut off, since the next
+// transaction would join it.
 func replayJournal(path string, table *table) error {
 	file, err := os.Open(path)
 	if os.IsNotExist(err) {
@@ -73,16 +73,20 @@
 		return fmt.Errorf("replay table: %w", err)
 	}
 	defer func() { _ = file.Close() }()
-	lines := bufio.NewScanner(file)
-	lines.Buffer(nil, maxStateLine)
-	for lines.Scan() {
+	complete := int64(0)
+	for reader := bufio.NewReader(file); ; {
+		line, err := reader.ReadBytes('\n')
 		var entry journalEntry
-		if json.Unmarshal(lines.Bytes(), &entry) != nil {
+		if err != nil || json.Unmarshal(line, &entry) != nil {
 			break
 		}
 		table.apply(entry.Revision, entry.Writes)
+		complete += int64(len(line))
 	}
-	return lines.Err()
+	if err := os.Truncate(path, complete); err != nil {
+		return fmt.Errorf("replay table: %w", err)
+	}
+	return nil
 }
 
 // commit appends a transaction to the journal. It is called before the response is
