Count the transactions of claims, tell a missing claim store apart

A lookup at an entry without a claim store answered that a claim could not be written, though it only reads. The limit on attempts counts no conflict that removes a write, on purpose: the comment said otherwise, and counting it would refuse requests whose own rows do not conflict.

--- a/lib/requests/claim_store.go
+++ b/lib/requests/claim_store.go
@@ -28,9 +28,10 @@
 	// immediately.
 	maxQueuedWrites = 1024
 	maxTransactions = 8
-	// Limit on the attempts to write a batch after lost answers and conflicts.
-	// Each conflict removes at least one write from the batch, so conflicts
-	// alone end earlier.
+	// Limit on the attempts to write a batch after lost answers, and after
+	// conflicts that remove no write from it. A conflict that removes one is
+	// progress: the other writes of the batch must not fail for it. Those are
+	// bounded by the size of the batch and by transactTimeout.
 	maxWriteAttempts = 4
 	transactTimeout  = time.Second
 	// After a failure of the store, writes fail immediately for this time.
@@ -53,6 +54,9 @@
 // request must not leave the entry.
 var ErrClaimNotWritten = errors.New("the claim could not be written")
 
+// errNoClaimStore means that the entry keeps no claims.
+var errNoClaimStore = errors.New("there is no store for claims")
+
 type (
 	// ClaimStore writes and reads claim rows. It is safe for concurrent use.
 	ClaimStore struct {
--- a/lib/requests/failures_test.go
+++ b/lib/requests/failures_test.go
@@ -134,6 +134,7 @@
 func TestConcurrentRepeatsOfKeys(t *testing.T) {
 	fleet := startFleet(t, 3)
 	convey.Convey("Each key runs once and all repeats get its answer", t, func() {
+		before := fleet.table.transactionCount()
 		var wait sync.WaitGroup
 		texts := make([][2]string, keyedCount)
 		for index := range keyedCount {
@@ -152,6 +153,8 @@
 			convey.So(texts[index][0], convey.ShouldEqual, texts[index][1])
 			convey.So(texts[index][0], convey.ShouldContainSubstring, `"outcome":"answered","parts":3`)
 		}
+		// Each key has a claim and an outcome, both of which are written.
+		convey.So(fleet.table.transactionCount()-before, convey.ShouldBeLessThan, 2*keyedCount)
 		status, lines := fleet.send(http.MethodGet, "/v1/requests/k0", "")
 		convey.So(status, convey.ShouldEqual, 200)
 		convey.So(lines[0], convey.ShouldContainSubstring, `"outcome":"answered"`)
--- a/lib/requests/fakes_test.go
+++ b/lib/requests/fakes_test.go
@@ -245,6 +245,12 @@
 	return nil, platform.ErrUnavailable
 }
 
+func (table *fakeTable) transactionCount() int {
+	table.mutex.Lock()
+	defer table.mutex.Unlock()
+	return table.transactions
+}
+
 func (table *fakeTable) setFault(fault func() tableFault) {
 	table.mutex.Lock()
 	defer table.mutex.Unlock()
--- a/lib/requests/non_idempotent.go
+++ b/lib/requests/non_idempotent.go
@@ -30,7 +30,7 @@
 // the request.
 func (dispatcher *Dispatcher) runNonIdempotent(ctx context.Context, incoming IncomingRequest, delivered *progress) Outcome {
 	if dispatcher.claims == nil {
-		return storeUnavailable("there is no store for claims")
+		return storeUnavailable(errNoClaimStore.Error())
 	}
 	key := claimKey(incoming.Request.Organisation, incoming.Key)
 	reserved, found := dispatcher.agents.reserve(incoming.Request.Deployment, "", nil, time.Now())
@@ -271,7 +271,7 @@
 // request is in progress.
 func (dispatcher *Dispatcher) Lookup(ctx context.Context, organisation, key string) (AttemptState, Answered, error) {
 	if dispatcher.claims == nil {
-		return "", Answered{}, ErrClaimNotWritten
+		return "", Answered{}, errNoClaimStore
 	}
 	found, err := dispatcher.claims.read(ctx, claimKey(organisation, key))
 	if err != nil {
