Name the reason for which an agent takes no requests; end simulations at a violation

If an agent began to leave, or lost its backend server, while a request was decoded, the refusal said not_serving: callers retry at once elsewhere for the one and wait for the other. The second check uses the same code as the first now (TestRefusalsNameTheReason: not_serving instead of leaving before). Simulations of the queue collected violated invariants and never looked at them: one ends the test now; none does. SetIntendedVersion had no caller and is gone.

--- a/lib/admissions/admission_state.go
+++ b/lib/admissions/admission_state.go
@@ -39,17 +39,6 @@
 	return state
 }
 
-// WithIntended returns the state with another intended version. New requests are
-// refused until the engine reports that version.
-func (state admissionState) WithIntended(version string) admissionState {
-	if version == state.intendedVersion {
-		return state
-	}
-	state.epoch++
-	state.intendedVersion = version
-	return state
-}
-
 // WithStatus returns the state after the response to a status request that was sent
 // in the epoch.
 func (state admissionState) WithStatus(status engines.Status, epoch int64) admissionState {
--- a/lib/admissions/queue.go
+++ b/lib/admissions/queue.go
@@ -190,12 +190,6 @@
 	queue.updateAdmission(func(current admissionState) admissionState { return current.WithServing(version, serving) })
 }
 
-// SetIntendedVersion changes only the intended version. The queue refuses requests
-// until the backend server reports that version.
-func (queue *Queue) SetIntendedVersion(version string) {
-	queue.updateAdmission(func(current admissionState) admissionState { return current.WithIntended(version) })
-}
-
 // updateAdmission replaces the admission state as setAdmission does, and requests
 // the backend server's status.
 func (queue *Queue) updateAdmission(replace func(admissionState) admissionState) {
--- a/lib/admissions/scheduler.go
+++ b/lib/admissions/scheduler.go
@@ -123,8 +123,11 @@
 // outstanding work in relation to their weight.
 func (scheduler *scheduler) admit(now time.Time, request requests.Request, job job) (*attempt, requests.Outcome) {
 	owner := scheduler.queue.byName[request.Organisation]
-	if code := scheduler.admission.refusalCode(); code != "" || owner == nil {
-		return nil, scheduler.refuse(request.AttemptID, requests.CodeNotServing, "the backend server takes no new requests", now.Add(closedRetryDelay))
+	if code := scheduler.admission.refusalCode(); code != "" {
+		return nil, scheduler.refuse(request.AttemptID, code, "the backend server takes no new requests", now.Add(closedRetryDelay))
+	}
+	if owner == nil {
+		return nil, scheduler.refuse(request.AttemptID, requests.CodeUnknownOrganisation, "the organisation is not configured", time.Time{})
 	}
 	if wanted := request.Version; wanted != "" && wanted != scheduler.admission.intendedVersion {
 		return nil, scheduler.refuse(request.AttemptID, requests.CodeNotServing, "the answer was started by version "+wanted, now.Add(closedRetryDelay))
--- a/lib/admissions/scheduler_test.go
+++ b/lib/admissions/scheduler_test.go
@@ -131,6 +131,26 @@
 	})
 }
 
+// Guards against a refusal that names the wrong reason if the state changes while the
+// request is decoded: callers retry at other agents of one that leaves, not of one whose
+// backend server is being changed.
+func TestRefusalsNameTheReason(t *testing.T) {
+	convey.Convey("Given an agent whose state changes between the checks of a request", t, func() {
+		for code, change := range map[string]func(admissionState) admissionState{
+			requests.CodeLeaving:         admissionState.WithDraining,
+			requests.CodeNoBackendServer: admissionState.WithUnreachable,
+			requests.CodeNotServing:      func(state admissionState) admissionState { return state.WithServing("", false) },
+		} {
+			simulation := newSimulation(Limits{}, &requestSource{name: "a", weight: 1, perSecond: 1, tokens: 1})
+			request := requests.Request{AttemptID: "1", Organisation: "a", Deadline: simulation.now.Add(time.Minute)}
+			convey.So(simulation.scheduler.precheck(simulation.now, request, simulation.snapshot), convey.ShouldBeNil)
+			simulation.scheduler.admission = change(simulation.scheduler.admission)
+			_, outcome := simulation.scheduler.admit(simulation.now, request, generation{maxTokens: 9})
+			convey.So(outcome.(requests.NotRun).Code, convey.ShouldEqual, code)
+		}
+	})
+}
+
 // Guards against a queue that refuses every request because its estimates are too
 // long, and that therefore never gets the measurements to correct them.
 func TestEstimatesRecover(t *testing.T) {
--- a/lib/admissions/simulation_test.go
+++ b/lib/admissions/simulation_test.go
@@ -45,7 +45,6 @@
 		events       eventHeap
 		requestCount int
 		lastOrder    int64
-		violations   []invariants.Name
 	}
 
 	// simulationEvent is the arrival of a source's next request, or the end of an
@@ -69,7 +68,7 @@
 		simulation.scheduleArrival(each)
 	}
 	simulation.snapshot = configurations.NewSnapshot(1, entries)
-	checker := invariants.NewForTest(func(name invariants.Name) { simulation.violations = append(simulation.violations, name) })
+	checker := invariants.NewForTest(func(name invariants.Name) { panic(fmt.Sprintf("violated invariant: %v", name)) })
 	simulation.scheduler = newScheduler(limits.WithDefaults(), checker)
 	simulation.scheduler.slots = simulatedSlots
 	simulation.scheduler.admission = admissionState{reachable: true, serving: true}
