Count the origin's bytes in the test of a burst

TestBurst says that twelve hosts together read at most one copy from the origin and counted nothing. Counted, they read 6 to 11 copies: the test's origin needs 60 ms for a copy, in which nobody can exchange a chunk, so each rank's deadline passed.

--- a/lib/transfers/transfers_test.go
+++ b/lib/transfers/transfers_test.go
@@ -22,10 +22,18 @@
 func TestBurst(t *testing.T) {
 	convey.Convey("Twelve hosts that start together complete the version", t, func() {
 		fleet := newFleet(t, 12)
+		// A copy takes the origin three seconds, so that the hosts can exchange chunks
+		// before others may read them there.
+		fleet.limits.OriginBytesPerS = 20 << 10
 		fleet.startAll()
 		manifest := fleet.origin.publish("v1", sequence(0, 60)...)
 		fleet.setTarget(fleet.target(manifest), fleet.allIndices()...)
 		fleet.waitComplete(manifest, fleet.allIndices()...)
+		originBytes := int64(0)
+		for _, node := range fleet.nodes {
+			originBytes += node.Counts().OriginBytes
+		}
+		convey.So(originBytes, convey.ShouldBeLessThanOrEqualTo, manifest.Size)
 		for _, node := range fleet.nodes {
 			for index, digest := range manifest.Chunks {
 				content, held := node.Chunk(digest)
