Accept one hello on a link

A peer that had proved its identity could send a second hello and was taken for whoever that named, without a proof; each one also made the other end remember its nonce. A frame without a readable length was reported as one of 0 bytes.

A second hello, or one whose nonce has another length, ends the link; the nonces of both ends stand in fields of their own. TestHelloIsAcceptedOnce: the second hello was answered before.

--- a/lib/links/links.go
+++ b/lib/links/links.go
@@ -81,6 +81,8 @@
 		peer     Identity
 		nonce    string
 		inFlight chan struct{}
+		// peerNonce is the nonce of the dialler's hello, empty before it.
+		peerNonce string
 		// ready is closed once rpc is set: the handler may run before NewConn
 		// returns.
 		ready chan struct{}
@@ -297,17 +299,28 @@
 		link.replyWithError(request, jsonrpc2.CodeInvalidParams, "malformed hello")
 		return
 	}
-	link.mutex.Lock()
-	link.peer = hello.Identity
-	link.mutex.Unlock()
+	if len(hello.Nonce) != hex.EncodedLen(nonceBytes) || !link.acceptHello(hello) {
+		link.replyWithError(request, jsonrpc2.CodeInvalidParams, "malformed or repeated hello")
+		link.Close()
+		return
+	}
 	link.reply(request, helloResult{
 		Identity: link.options.Self,
 		Nonce:    link.nonce,
 		Proof:    link.computeProof("listener", link.options.Self, hello.Nonce, link.nonce),
 	})
+}
+
+// acceptHello records the identity that the dialler claims. It returns false for a
+// second hello: it would claim another identity than the one that was proved.
+func (link *Link) acceptHello(hello helloParams) bool {
 	link.mutex.Lock()
-	link.nonce += "|" + hello.Nonce
-	link.mutex.Unlock()
+	defer link.mutex.Unlock()
+	if link.peerNonce != "" || link.authenticated {
+		return false
+	}
+	link.peer, link.peerNonce = hello.Identity, hello.Nonce
+	return true
 }
 
 func (link *Link) handleProof(request *jsonrpc2.Request) {
@@ -317,10 +330,9 @@
 		return
 	}
 	link.mutex.Lock()
-	peer, nonces := link.peer, link.nonce
+	peer, peerNonce := link.peer, link.peerNonce
 	link.mutex.Unlock()
-	ownNonce, peerNonce := splitNonces(nonces)
-	if !hmac.Equal([]byte(received.Proof), []byte(link.computeProof("dialler", peer, ownNonce, peerNonce))) {
+	if peerNonce == "" || !hmac.Equal([]byte(received.Proof), []byte(link.computeProof("dialler", peer, link.nonce, peerNonce))) {
 		link.options.Logger.Warn("link refused", zap.String("peer", peer.Name), zap.String("reason", "wrong proof"))
 		link.replyWithError(request, CodeUnauthenticated, ErrUnauthenticated.Error())
 		link.Close()
@@ -334,10 +346,6 @@
 	}
 }
 
-func splitNonces(joined string) (ownNonce, peerNonce string) {
-	return joined[:nonceBytes*2], joined[min(len(joined), nonceBytes*2+1):]
-}
-
 func (link *Link) dispatch(request *jsonrpc2.Request) {
 	if !link.isAuthenticated() {
 		link.replyWithError(request, CodeUnauthenticated, "the link is not authenticated")
--- a/lib/links/links_test.go
+++ b/lib/links/links_test.go
@@ -1,7 +1,10 @@
 package links
 
 import (
+	"bufio"
+	"bytes"
 	"context"
+	"encoding/binary"
 	"net"
 	"testing"
 
@@ -62,6 +65,34 @@
 	})
 }
 
+// Guards against a peer that takes another identity after it has proved its own, or that
+// makes the other end remember more with each greeting.
+func TestHelloIsAcceptedOnce(t *testing.T) {
+	convey.Convey("Given an authenticated link", t, func() {
+		options := Options{Self: Identity{Name: "a"}, Router: NewRouter(), Logger: zap.NewNop(), Key: []byte("right")}
+		link, err := Dial(context.Background(), serveEcho(t, "right"), options)
+		convey.So(err, convey.ShouldBeNil)
+		defer link.Close()
+		convey.Convey("Then a second hello ends it", func() {
+			second := helloParams{Identity: Identity{Name: "another"}, Nonce: newNonce()}
+			convey.So(link.rpc.Call(context.Background(), methodHello, second, nil), convey.ShouldNotBeNil)
+			convey.So(link.Call(context.Background(), "echo", echoParams{}, nil), convey.ShouldNotBeNil)
+		})
+	})
+	convey.Convey("Given a connection without a hello, a proof ends it", t, func() {
+		conn, err := net.Dial("tcp", serveEcho(t, "right"))
+		convey.So(err, convey.ShouldBeNil)
+		link := newLink(conn, Options{Self: Identity{Name: "a"}, Router: NewRouter(), Logger: zap.NewNop(), Key: []byte("right")})
+		defer link.Close()
+		convey.So(link.rpc.Call(context.Background(), methodProve, proveParams{Proof: "00"}, nil), convey.ShouldNotBeNil)
+	})
+	convey.Convey("Given a frame that does not begin with a length, the error says so", t, func() {
+		unreadable := bytes.Repeat([]byte{0xff}, binary.MaxVarintLen64+1)
+		err := boundedCodec{}.ReadObject(bufio.NewReader(bytes.NewReader(unreadable)), nil)
+		convey.So(err, convey.ShouldEqual, errUnreadableLength)
+	})
+}
+
 // Guards against a peer that exhausts memory by announcing a huge frame.
 func TestFrameAboveLimit(t *testing.T) {
 	convey.Convey("A frame that announces more than the limit ends the link", t, func() {
--- a/lib/links/transport.go
+++ b/lib/links/transport.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -33,6 +34,9 @@
 	discardLogger struct{}
 )
 
+// errUnreadableLength means that a frame does not begin with a length.
+var errUnreadableLength = errors.New("frame without a readable length")
+
 // WriteObject implements jsonrpc2.ObjectCodec.
 func (codec boundedCodec) WriteObject(stream io.Writer, object any) error {
 	return codec.frames.WriteObject(stream, object)
@@ -44,7 +48,10 @@
 		return err
 	}
 	length, width := peekLength(stream)
-	if width <= 0 || length > MaxMessageBytes {
+	if width <= 0 {
+		return errUnreadableLength
+	}
+	if length > MaxMessageBytes {
 		return fmt.Errorf("frame of %d bytes, at most %d are allowed", length, MaxMessageBytes)
 	}
 	return codec.frames.ReadObject(stream, object)
