Accept a byte order mark at the start of a settings file

The first line of a file with a byte order mark was reported as neither a section, a key nor a comment, with an odd character. The mark is skipped. TestValidValues fails on such a file before.

--- a/lib/settings/settings.go
+++ b/lib/settings/settings.go
@@ -19,6 +19,9 @@
 	"firford/lib/findings"
 )
 
+// byteOrderMark is the mark in UTF-8.
+const byteOrderMark = "\ufeff"
+
 type (
 	// File is a parsed settings file. Each read of a value marks its key as known;
 	// Findings reports the keys that were never read. A File is not safe for
@@ -66,7 +69,8 @@
 		known:    map[string]bool{},
 		sections: map[string]bool{},
 	}
-	clean := file.scanLines(text)
+	// Editors of some systems put a byte order mark at the start of a file.
+	clean := file.scanLines(strings.TrimPrefix(text, byteOrderMark))
 	values, err := ini.LoadSources(ini.LoadOptions{IgnoreInlineComment: true}, []byte(clean))
 	if err != nil {
 		file.list = file.list.With(findings.Finding{Position: findings.Position{File: path}, Text: err.Error()})
--- a/lib/settings/settings_test.go
+++ b/lib/settings/settings_test.go
@@ -51,4 +51,9 @@
 		convey.So(section.Integer("absent", 7, 0, 9), convey.ShouldEqual, 7)
 		convey.So(file.Findings().Len(), convey.ShouldEqual, 0)
 	})
+	convey.Convey("Given a file that starts with a byte order mark", t, func() {
+		file := Parse("entry.ini", "\ufeff[a]\nflag = true\n")
+		convey.So(file.Section("a").Bool("flag", false), convey.ShouldBeTrue)
+		convey.So(file.Findings().Len(), convey.ShouldEqual, 0)
+	})
 }
