--- a/lib/timelines/lines.go
+++ b/lib/timelines/lines.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	// maxLineBytes limits the length of a line. The rest of a longer line is dropped,
-	// which can make it unreadable.
+	// maxLineBytes limits the length of a line. A longer one is unreadable: its first
+	// part might parse and lack the fields that count.
 	maxLineBytes = 64 << 10
 
 	fieldTime    = "time"
@@ -26,7 +26,10 @@
 	fieldRequest = "request_id"
 )
 
-var errNoTime = errors.New("line without a time")
+var (
+	errNoTime      = errors.New("line without a time")
+	errLineTooLong = fmt.Errorf("line of more than %d bytes", maxLineBytes)
+)
 
 type (
 	// Line is one line of a log. Location is its place in the logs, as FILE:LINE.
@@ -74,9 +77,14 @@
 func (log *RequestLog) AddLog(reader io.Reader, name string) error {
 	buffered := bufio.NewReaderSize(reader, maxLineBytes)
 	for lineNumber := 1; ; lineNumber++ {
-		text, err := readLine(buffered)
-		if len(text) > 0 {
-			log.addLine(text, fmt.Sprintf("%s:%d", name, lineNumber))
+		text, isTooLong, err := readLine(buffered)
+		location := fmt.Sprintf("%s:%d", name, lineNumber)
+		switch {
+		case isTooLong:
+			log.LinesRead++
+			log.recordUnreadable(location, errLineTooLong)
+		case len(text) > 0:
+			log.addLine(text, location)
 		}
 		if errors.Is(err, io.EOF) {
 			return nil
@@ -87,14 +95,14 @@
 	}
 }
 
-// readLine returns the next line, truncated if it is too long.
-func readLine(reader *bufio.Reader) ([]byte, error) {
-	text, tooLong, err := reader.ReadLine()
-	line := bytes.Clone(text)
-	for tooLong && err == nil {
-		_, tooLong, err = reader.ReadLine()
+// readLine returns the next line, or that it is too long.
+func readLine(reader *bufio.Reader) (line []byte, isTooLong bool, err error) {
+	text, hasMore, err := reader.ReadLine()
+	line, isTooLong = bytes.Clone(text), hasMore
+	for hasMore && err == nil {
+		_, hasMore, err = reader.ReadLine()
 	}
-	return line, err
+	return line, isTooLong, err
 }
 
 // addLine parses a line and adds it, unless it belongs to another request.
@@ -106,10 +114,8 @@
 	}
 	line, err := parseLine(text, location)
 	switch {
-	case err != nil && len(log.UnreadableLines) < maxUnreadableLines:
-		log.UnreadableLines = append(log.UnreadableLines, UnreadableLine{Location: location, Problem: err.Error()})
 	case err != nil:
-		log.unreadableNotKept++
+		log.recordUnreadable(location, err)
 	case line.Fields[fieldRequest] == log.RequestID:
 		log.RequestLines = append(log.RequestLines, line)
 	case line.Fields[fieldRequest] == "":
@@ -117,6 +123,15 @@
 	}
 }
 
+// recordUnreadable counts a line that could not be parsed, and keeps the first ones.
+func (log *RequestLog) recordUnreadable(location string, err error) {
+	if len(log.UnreadableLines) == maxUnreadableLines {
+		log.unreadableNotKept++
+		return
+	}
+	log.UnreadableLines = append(log.UnreadableLines, UnreadableLine{Location: location, Problem: err.Error()})
+}
+
 // parseLine parses one line of key=value pairs.
 func parseLine(text []byte, location string) (Line, error) {
 	start := bytes.Index(text, []byte(fieldTime+"="))
--- a/lib/timelines/timelines_test.go
+++ b/lib/timelines/timelines_test.go
@@ -63,6 +63,18 @@
 	})
 }
 
+// Guards against a line that is cut off and still parses, without the fields that tell
+// what became of the request.
+func TestLongLinesAreNotCutOff(t *testing.T) {
+	convey.Convey("Given a line that would parse without its end", t, func() {
+		log := NewRequestLog("a")
+		text := "time=2026-12-03T10:00:00Z event=\"request ended\" request_id=a filler=" + strings.Repeat("x", maxLineBytes) + " status=502\n"
+		convey.So(log.AddLog(strings.NewReader(text), "log"), convey.ShouldBeNil)
+		convey.So(log.RequestLines, convey.ShouldBeEmpty)
+		convey.So(log.UnreadableLines, convey.ShouldResemble, []UnreadableLine{{Location: "log:1", Problem: errLineTooLong.Error()}})
+	})
+}
+
 // Guards against a reason of the gateway that this package does not explain.
 func TestEveryReasonOfTheGatewayIsExplained(t *testing.T) {
 	convey.Convey("Every reason in the gateway's golden file is explained", t, func() {
