Write down what is known of LOST; log how long a caller had received nothing

The log line of a lost answer has its error, but not how long the server had been silent, and no metric counts the streams that an entry cuts. Lines of lost answers and cut streams now have silent_for, and firford_entry_streams_cut counts the latter. No decision changes.

--- a/lib/gateways/deadlines.go
+++ b/lib/gateways/deadlines.go
@@ -62,3 +62,8 @@
 	silenceLimit := max(abandonTime, abandonTargets*request.target(), abandonGaps*request.match.Route.EventGap)
 	return now.After(request.lastDeliveredAt.Add(silenceLimit))
 }
+
+// silentFor returns how long the caller has received nothing.
+func (request *request) silentFor(now time.Time) time.Duration {
+	return now.Sub(request.lastDeliveredAt)
+}
--- a/lib/gateways/error_responses.go
+++ b/lib/gateways/error_responses.go
@@ -36,7 +36,8 @@
 // of a stream, it closes the caller's connection.
 func (request *request) fail(reason reason) {
 	if request.streaming {
-		request.recordOwnEnd(0, reason)
+		request.gateway.metrics.countCutStream()
+		request.recordOwnEnd(0, reason, zap.Duration("silent_for", request.silentFor(time.Now())))
 		panic(http.ErrAbortHandler)
 	}
 	if request.errorAnswer != nil {
--- a/lib/gateways/metrics.go
+++ b/lib/gateways/metrics.go
@@ -77,6 +77,12 @@
 	metrics.scope.Counter("limited_attempts").Inc(1)
 }
 
+// countCutStream counts a stream that the gateway ended before its last event, although
+// its caller was still there.
+func (metrics gatewayMetrics) countCutStream() {
+	metrics.scope.Counter("streams_cut").Inc(1)
+}
+
 func outcomeLabel(outcome attemptResult) string {
 	switch outcome.(type) {
 	case delivered:
--- a/lib/gateways/retries.go
+++ b/lib/gateways/retries.go
@@ -116,7 +116,7 @@
 		case outcomeUnknown:
 			request.sentCount++
 			request.mayHaveRun = true
-			request.log(eventAnswerLost, zap.String("server", server.ID), zap.String("address", server.Address), zap.Any("versions", server.Versions), zap.Error(outcome.err))
+			request.log(eventAnswerLost, zap.String("server", server.ID), zap.String("address", server.Address), zap.Any("versions", server.Versions), zap.Duration("silent_for", request.silentFor(time.Now())), zap.Error(outcome.err))
 			if !request.match.Route.MayRetry() || !request.mayRetry(ctx) {
 				request.fail(reasonAnswerLost)
 				return
