Show that the silence of a sound server ends answers

A server that is silent for 0.9 s and then goes on loses its request: the gateway gives its connection up after four event gaps (0.4 s in the test, 1.6 s on the users' sites) and closes the caller's connection if no other server takes the stream over.

--- a/lib/gateways/fakes_test.go
+++ b/lib/gateways/fakes_test.go
@@ -174,9 +174,14 @@
 			Timeout: 2 * time.Second, FirstEventTarget: 200 * time.Millisecond, EventGap: 100 * time.Millisecond, Shares: share,
 		}
 	}
+	once := route("events-once", routes.Stream, 2)
+	once.Resumable = false
 	return routes.Configuration{
-		Version:  1,
-		Routes:   []routes.Route{route("once", routes.AtMostOnce, 1), route("again", routes.Idempotent, 2), route("events", routes.Stream, 2)},
+		Version: 1,
+		Routes: []routes.Route{
+			route("once", routes.AtMostOnce, 1), route("again", routes.Idempotent, 2),
+			route("events", routes.Stream, 2), route("events-thrice", routes.Stream, 3), once,
+		},
 		Services: []routes.Service{{Name: "desk"}},
 		Keys:     map[string]routes.Organisation{"key": {Name: "buyers"}},
 		Limits:   routes.Limits{BodyBytes: 1000},
