Leave a request with its silent server until another one has sent something

Cause: silence was taken for the death of the server. After four event gaps (1.6 s on the users' sites), or three targets before the first event, the gateway closed the connection to the server and then looked for another one. If the route lets the request run once, if no other server had room or could be reached, if all attempts or retries were used, or if the second server was silent too, the caller lost an answer that the first server would have completed. The class: a time limit that gives up what nothing can replace.

Now a goroutine reads each answer, and a request may be at two servers: while the first one is silent, the request is also sent to another one that has room, if route and retry budget allow that. The first to send something goes on, the other one is closed. Without a second server the first one has until the deadline of the request. The deadline of a version that is replaced still ends an attempt that has not begun.

Ruled out: a new configuration ends requests that are under way (TestNewConfigurationLeavesRunningRequests passes before and after), and answers that end with their connection.

Streams of a server that is silent for good still move within the 2 s after which callers leave (TestStreamOfSilentServerIsTakenOver, as before). Logged as "another server took over", explained by firford explain, counted as outcome taken_over.

--- a/lib/gateways/admission_queue.go
+++ b/lib/gateways/admission_queue.go
@@ -116,6 +116,17 @@
 	}
 }
 
+// tryAcquire returns a reservation at a server that has room now, or nil.
+func (queue *AdmissionQueue) tryAcquire(waiter placements.Waiter) *placements.Reservation {
+	queue.mutex.Lock()
+	defer queue.mutex.Unlock()
+	reservation := queue.dispatcher.TryPlace(waiter, time.Now())
+	if reservation != nil {
+		queue.notifySent(reservation)
+	}
+	return reservation
+}
+
 // admit places the request at once, refuses it or queues it. For a queued request
 // it returns the channel that receives the reservation, and the number of the
 // request in the queue.
--- /dev/null
+++ b/lib/gateways/attempts.go
@@ -0,0 +1,205 @@
+package gateways
+
+// This file sends a request to one server. A goroutine of its own reads the answer, so
+// that the request can wait for two servers at once: for one that has fallen silent, and
+// for another that may take its place.
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"firford/lib/placements"
+	"firford/lib/routes"
+)
+
+type (
+	// attempt is a request at one server. silentAt is when the server counts as silent,
+	// zero if no other server may take its place. head is nil until it has arrived.
+	attempt struct {
+		reservation *placements.Reservation
+		conn        *connection
+		stopAbort   func() bool
+		sentAt      time.Time
+		silentAt    time.Time
+		parts       chan answerPart
+		closed      chan struct{}
+		head        *answerHead
+	}
+
+	// answerPart is a part of a server's answer. The variants are sealed.
+	answerPart interface{ isAnswerPart() }
+
+	// answerHead is the first part of an answer.
+	answerHead struct {
+		response *http.Response
+		info     ResponseInfo
+	}
+
+	// answerEvents are complete events of a stream. lastID is the id of the last one that
+	// has an id.
+	answerEvents struct {
+		text   []byte
+		lastID string
+	}
+
+	// answerBody is the complete body of an answer that is no stream.
+	answerBody struct{ body []byte }
+
+	// answerEnd is the end of a stream, or of an answer that broke off if err is set.
+	answerEnd struct{ err error }
+)
+
+func (answerHead) isAnswerPart()   {}
+func (answerEvents) isAnswerPart() {}
+func (answerBody) isAnswerPart()   {}
+func (answerEnd) isAnswerPart()    {}
+
+// open sends the request to the reserved server and begins to read the answer. Without
+// an attempt it returns how the attempt ended.
+func (request *request) open(ctx context.Context, reservation *placements.Reservation) (*attempt, attemptResult) {
+	gateway, server := request.gateway, reservation.Server
+	requireNew := !request.match.Route.MayRetry() || request.isReplacementAnnounced(server)
+	conn, err := gateway.pool.get(ctx, server.ID, server.Address, requireNew)
+	if err != nil {
+		return nil, request.classifyError(ctx, err)
+	}
+	attempt := &attempt{
+		reservation: reservation, conn: conn, stopAbort: conn.abortOnCancel(ctx), sentAt: time.Now(),
+		parts: make(chan answerPart), closed: make(chan struct{}),
+	}
+	if failure := request.send(ctx, attempt); failure != nil {
+		attempt.close()
+		return nil, failure
+	}
+	attempt.silentAt = request.firstSilentAt(attempt.sentAt)
+	deadline := request.deadline.Add(answerMargin)
+	_ = conn.SetReadDeadline(earlier(deadline, request.versionDeadline(server)))
+	go attempt.read(gateway.Dialect, request.received.Method, request.info.ID, request.match.Route.RetryMode == routes.Stream, deadline)
+	return attempt, nil
+}
+
+// send sends the request over the attempt's connection, unless its caller has left.
+func (request *request) send(ctx context.Context, attempt *attempt) attemptResult {
+	if request.callerDisconnected() {
+		return callerGone{}
+	}
+	if request.callerGaveUp(attempt.sentAt) {
+		return notSent{err: errAbandoned}
+	}
+	if err := attempt.conn.send(request.encode(attempt.reservation.Server, attempt.sentAt)); err != nil {
+		return request.classifyError(ctx, err)
+	}
+	return nil
+}
+
+// read passes on the parts of the answer until it ends or the attempt is closed. Once the
+// head has arrived, the connection's deadline is the one of the whole answer.
+func (attempt *attempt) read(dialect Dialect, method, id string, isStream bool, deadline time.Time) {
+	response, info, err := attempt.conn.readAnswer(dialect, method, id)
+	if err != nil {
+		attempt.pass(answerEnd{err: err})
+		return
+	}
+	_ = attempt.conn.SetReadDeadline(deadline)
+	if !attempt.pass(answerHead{response: response, info: info}) {
+		return
+	}
+	if isStream && response.StatusCode == http.StatusOK {
+		attempt.readEvents(response.Body)
+		return
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	if err != nil {
+		attempt.pass(answerEnd{err: err})
+		return
+	}
+	attempt.pass(answerBody{body: body})
+}
+
+func (attempt *attempt) readEvents(body io.Reader) {
+	reader := &eventReader{body: body}
+	for {
+		text, lastID, err := reader.next()
+		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
+			attempt.pass(answerEnd{})
+			return
+		}
+		if err != nil {
+			attempt.pass(answerEnd{err: err})
+			return
+		}
+		if !attempt.pass(answerEvents{text: text, lastID: lastID}) {
+			return
+		}
+	}
+}
+
+// pass passes a part on. It returns false if the attempt was closed.
+func (attempt *attempt) pass(part answerPart) bool {
+	select {
+	case attempt.parts <- part:
+		return true
+	case <-attempt.closed:
+		return false
+	}
+}
+
+// close aborts the connection.
+func (attempt *attempt) close() {
+	attempt.stopAbort()
+	close(attempt.closed)
+	attempt.conn.abort()
+}
+
+// endAttempt records how an attempt ended and keeps its connection for another request
+// if that is possible.
+func (request *request) endAttempt(attempt *attempt, outcome attemptResult) {
+	server := attempt.reservation.Server
+	if attempt.head != nil && mayReuseConnection(outcome, attempt.head.response) && attempt.stopAbort() {
+		request.gateway.pool.put(server.ID, attempt.conn, attempt.head.info.IdleUntil)
+	} else {
+		attempt.close()
+	}
+	request.recordOutcome(attempt.reservation, outcome)
+}
+
+// recordOutcome releases the reservation and counts and logs how its attempt ended.
+func (request *request) recordOutcome(reservation *placements.Reservation, outcome attemptResult) {
+	request.gateway.Queue.release(reservation, placementOutcome(outcome))
+	request.gateway.metrics.countAttempt(outcome)
+	server := reservation.Server
+	place := []zap.Field{zap.String("server", server.ID), zap.String("address", server.Address)}
+	switch outcome := outcome.(type) {
+	case delivered, callerGone:
+	case notSent:
+		request.connectFailures++
+		request.log(eventNotReached, append(place, zap.Error(outcome.err))...)
+	case notRun:
+		if outcome.misdirected {
+			request.misdirections++
+		} else {
+			request.sentCount++
+		}
+		request.log(eventTurnedAway, append(place, zap.Bool("misdirected", outcome.misdirected))...)
+	case outcomeUnknown:
+		request.sentCount++
+		request.mayHaveRun = true
+		request.log(eventAnswerLost, append(place, zap.Any("versions", server.Versions), zap.Duration("silent_for", request.silentFor(time.Now())), zap.Error(outcome.err))...)
+	case superseded:
+		request.sentCount++
+		request.mayHaveRun = true
+		request.log(eventTakenOver, append(place, zap.Bool("silent", outcome.wasSilent), zap.Duration("silent_for", request.silentFor(time.Now())))...)
+	case serverError:
+		request.sentCount++
+		request.mayHaveRun = true
+		request.errorAnswer = outcome.answer
+		request.log(eventServerError, append(place, zap.Int("server_status", outcome.answer.status))...)
+	default:
+		request.log(eventAnswerLost, append(place, zap.Any("unknown_outcome", outcome))...)
+	}
+}
--- a/lib/gateways/forward.go
+++ b/lib/gateways/forward.go
@@ -1,80 +1,31 @@
 package gateways
 
-// This file makes a single attempt: it sends a request to one server and relays the
-// answer.
+// This file passes the answer of a server on to the caller.
 
 import (
 	"context"
 	"errors"
-	"io"
+	"fmt"
 	"net/http"
 	"time"
 
 	"go.uber.org/zap"
 
 	"firford/lib/placements"
-	"firford/lib/routes"
 )
 
 const (
 	// firstEventTargets is how many targets of the route a stream may take to its
-	// first event before the request is sent to another server.
+	// first event before another server may take its place.
 	firstEventTargets = 3
 	// eventTimeoutGaps is how many of the route's event gaps may pass between two
-	// events before the stream counts as stuck.
+	// events before another server may take the stream over.
 	eventTimeoutGaps = 4
-	// answerTimeShare is the share of the remaining time that a server has for a
-	// complete answer if the request can still be sent to another server afterwards.
+	// answerTimeShare is the share of the remaining time after which another server may
+	// take over a request without a stream.
 	answerTimeShare = 0.6
 )
 
-// sendTo sends the request to the reserved server and relays its answer.
-func (request *request) sendTo(ctx context.Context, reservation *placements.Reservation) attemptResult {
-	gateway, server := request.gateway, reservation.Server
-	requireNew := !request.match.Route.MayRetry() || request.isReplacementAnnounced(server)
-	conn, err := gateway.pool.get(ctx, server.ID, server.Address, requireNew)
-	if err != nil {
-		return request.classifyError(ctx, err)
-	}
-	stop := conn.abortOnCancel(ctx)
-	pooled := false
-	defer func() {
-		stop()
-		if !pooled {
-			conn.abort()
-		}
-	}()
-	if request.callerDisconnected() {
-		return callerGone{}
-	}
-	sentAt := time.Now()
-	if request.callerGaveUp(sentAt) {
-		return notSent{err: errAbandoned}
-	}
-	if err := conn.send(request.encode(server, sentAt)); err != nil {
-		return request.classifyError(ctx, err)
-	}
-	_ = conn.SetReadDeadline(earlier(request.firstByteDeadline(sentAt), request.versionDeadline(server)))
-	response, info, err := conn.readAnswer(gateway.Dialect, request.received.Method, request.info.ID)
-	if err != nil {
-		return request.classifyError(ctx, err)
-	}
-	request.recordLimit(reservation, info, sentAt)
-	if info.NotRun {
-		return notRun{misdirected: info.Misdirected}
-	}
-	request.answerBeganAt = time.Now()
-	gateway.metrics.firstEvent.RecordDuration(request.answerBeganAt.Sub(request.arrivedAt))
-	gateway.metrics.recordPrediction(request.answerBeganAt.Sub(sentAt), reservation.Predicted)
-	gateway.Queue.recordAnswerStart(reservation, request.answerBeganAt.Sub(sentAt))
-	outcome := request.relayAnswer(conn, response, info)
-	if stop() && mayReuseConnection(outcome, response) {
-		pooled = true
-		gateway.pool.put(server.ID, conn, info.IdleUntil)
-	}
-	return outcome
-}
-
 // recordLimit records the limit that the server states in its answer. Only an answer
 // that a server certainly wrote itself ends a limit.
 func (request *request) recordLimit(reservation *placements.Reservation, info ResponseInfo, sentAt time.Time) {
@@ -112,19 +63,6 @@
 	}
 }
 
-// firstByteDeadline returns by when the answer must have begun.
-func (request *request) firstByteDeadline(sentAt time.Time) time.Time {
-	deadline := request.deadline.Add(answerMargin)
-	switch {
-	case !request.match.Route.MayRetry() || request.sentCount+1 >= request.match.Route.MaxAttempts:
-		return deadline
-	case request.match.Route.RetryMode == routes.Stream:
-		return earlier(sentAt.Add(firstEventTargets*request.target()), deadline)
-	default:
-		return earlier(sentAt.Add(time.Duration(answerTimeShare*float64(deadline.Sub(sentAt)))), deadline)
-	}
-}
-
 // versionDeadline returns by when the answer must have begun because the server's
 // version is about to be replaced. A request that has not begun by then is sent to
 // another server. Without a replacement it returns the request's own deadline.
@@ -162,19 +100,46 @@
 	return encodeRequest(request.received.Method, request.received.RequestURI, request.received.Host, header, request.body)
 }
 
-// relayAnswer passes the server's answer to the caller. It returns an unusable
-// answer or an error as the result instead, so that the request can be retried.
-func (request *request) relayAnswer(conn *connection, response *http.Response, info ResponseInfo) attemptResult {
-	if response.StatusCode < http.StatusMultipleChoices && !info.Signed {
-		return outcomeUnknown{err: errors.New("success without signature")}
+// handlePart passes a part of an answer on to the caller. It returns how the attempt
+// ended, nil if the answer goes on. An unusable answer is a result, so that the request
+// can be retried.
+func (request *request) handlePart(ctx context.Context, attempt *attempt, part answerPart) attemptResult {
+	switch part := part.(type) {
+	case answerHead:
+		attempt.head = &part
+		return request.handleHead(attempt)
+	case answerEvents:
+		return request.deliverEvents(attempt, part)
+	case answerBody:
+		return request.handleBody(attempt.head.response, part.body)
+	case answerEnd:
+		if part.err != nil {
+			return request.classifyError(ctx, part.err)
+		}
+		return request.finishStream(attempt.head.response)
+	default:
+		return outcomeUnknown{err: fmt.Errorf("unknown part of an answer: %T", part)}
 	}
-	if request.match.Route.RetryMode == routes.Stream && response.StatusCode == http.StatusOK {
-		return request.relayEvents(conn, response)
+}
+
+func (request *request) handleHead(attempt *attempt) attemptResult {
+	gateway, reservation, head := request.gateway, attempt.reservation, attempt.head
+	request.recordLimit(reservation, head.info, attempt.sentAt)
+	if head.info.NotRun {
+		return notRun{misdirected: head.info.Misdirected}
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
-	if err != nil {
-		return outcomeUnknown{err: err}
+	request.answerBeganAt = time.Now()
+	delay := request.answerBeganAt.Sub(attempt.sentAt)
+	gateway.metrics.firstEvent.RecordDuration(request.answerBeganAt.Sub(request.arrivedAt))
+	gateway.metrics.recordPrediction(delay, reservation.Predicted)
+	gateway.Queue.recordAnswerStart(reservation, delay)
+	if head.response.StatusCode < http.StatusMultipleChoices && !head.info.Signed {
+		return outcomeUnknown{err: errors.New("success without signature")}
 	}
+	return nil
+}
+
+func (request *request) handleBody(response *http.Response, body []byte) attemptResult {
 	answer := &bufferedAnswer{status: response.StatusCode, header: endToEndHeaders(response.Header), body: body}
 	if response.StatusCode >= http.StatusBadRequest {
 		return request.classifyErrorAnswer(answer)
@@ -213,35 +178,23 @@
 	_, _ = request.writer.Write(answer.body) // Fails only if the caller has disconnected.
 }
 
-// relayEvents passes events to the caller as they arrive.
-func (request *request) relayEvents(conn *connection, response *http.Response) attemptResult {
-	controller := http.NewResponseController(request.writer)
-	reader := &eventReader{body: response.Body}
-	for {
-		events, id, err := reader.next()
-		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
-			return request.finishStream(response)
-		}
-		if err != nil {
-			return outcomeUnknown{err: err}
-		}
-		request.beginStream(response)
-		if _, err := request.writer.Write(events); err != nil {
-			return callerGone{}
-		}
-		if err := controller.Flush(); err != nil {
-			return callerGone{}
-		}
-		if id != "" {
-			request.lastEventID = id
-		}
-		request.lastDeliveredAt = time.Now()
-		_ = conn.SetReadDeadline(earlier(request.lastDeliveredAt.Add(request.eventTimeout()), request.deadline.Add(answerMargin)))
+// deliverEvents passes events on to the caller.
+func (request *request) deliverEvents(attempt *attempt, events answerEvents) attemptResult {
+	request.beginStream(attempt.head.response)
+	if _, err := request.writer.Write(events.text); err != nil {
+		return callerGone{}
+	}
+	if err := http.NewResponseController(request.writer).Flush(); err != nil {
+		return callerGone{}
 	}
+	if events.lastID != "" {
+		request.lastEventID = events.lastID
+	}
+	request.lastDeliveredAt = time.Now()
+	attempt.silentAt = request.nextSilentAt()
+	return nil
 }
 
-func (request *request) eventTimeout() time.Duration { return eventTimeoutGaps * request.maxEventGap() }
-
 // beginStream sends the head of the answer to the caller once. The head stays the
 // same when another server continues the stream.
 func (request *request) beginStream(response *http.Response) {
--- a/lib/gateways/gateway.go
+++ b/lib/gateways/gateway.go
@@ -164,9 +164,12 @@
 	// event it is when the request arrived.
 	lastDeliveredAt time.Time
 	// triedServers holds the ids of the servers that were reserved for the request.
-	// sentCount counts those to which the request was sent.
+	// sentCount counts those to which the request was sent and that are done with it.
 	triedServers []string
 	sentCount    int
+	// connectFailures counts the servers that could not be reached, and misdirections
+	// those whose address another server had.
+	connectFailures, misdirections int
 	// mayHaveRun is set as soon as a server may have run the request. errorAnswer is the
 	// last answer of a server that ran it and failed, nil if there is none.
 	mayHaveRun  bool
--- a/lib/gateways/gateways_test.go
+++ b/lib/gateways/gateways_test.go
@@ -7,12 +7,14 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/smartystreets/goconvey/convey"
 
 	"firford/lib/placements"
+	"firford/lib/routes"
 )
 
 const signedHeader = "Signed: yes\r\n"
@@ -431,3 +433,46 @@
 		convey.So(time.Since(began), convey.ShouldBeLessThan, limit)
 	})
 }
+
+// Guards against a new configuration that ends requests which are running or waiting: one
+// that moves their route to another service, shortens its timeout or removes it.
+func TestNewConfigurationLeavesRunningRequests(t *testing.T) {
+	const events = 8
+	for name, change := range map[string]func(*routes.Configuration){
+		"removes all routes and services": func(next *routes.Configuration) { next.Routes, next.Services = nil, nil },
+		"moves the routes":                func(next *routes.Configuration) { setShares(next, "other") },
+		"shortens the timeouts":           func(next *routes.Configuration) { setTimeouts(next, time.Millisecond) },
+		"removes the keys":                func(next *routes.Configuration) { next.Keys = nil },
+	} {
+		convey.Convey("Given a stream while a configuration "+name, t, func() {
+			var table atomic.Pointer[routes.Table]
+			first := routes.New(configuration())
+			table.Store(&first)
+			server := newScriptedServer(t, func(conn net.Conn, received *http.Request) bool {
+				next := configuration()
+				next.Version++
+				change(&next)
+				changed := routes.New(next)
+				table.Store(&changed)
+				return streamUntil(events, true)(conn, received)
+			})
+			fixture := newGatewayFixture(t, 1, server)
+			fixture.gateway.Table = func() routes.Table { return *table.Load() }
+			_, _, body, err := fixture.post(t, "/events/", "")
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(body, convey.ShouldEqual, completeStream(events))
+		})
+	}
+}
+
+func setShares(configuration *routes.Configuration, service string) {
+	for i := range configuration.Routes {
+		configuration.Routes[i].Shares = []routes.Share{{Service: service, Weight: 1}}
+	}
+}
+
+func setTimeouts(configuration *routes.Configuration, timeout time.Duration) {
+	for i := range configuration.Routes {
+		configuration.Routes[i].Timeout = timeout
+	}
+}
--- a/lib/gateways/metrics.go
+++ b/lib/gateways/metrics.go
@@ -95,6 +95,8 @@
 		return "broken"
 	case serverError:
 		return "failed"
+	case superseded:
+		return "taken_over"
 	case callerGone:
 		return "caller_left"
 	default:
--- a/lib/gateways/request_log.go
+++ b/lib/gateways/request_log.go
@@ -28,6 +28,7 @@
 	eventTurnedAway  = "server turned request away"
 	eventAnswerLost  = "answer lost"
 	eventServerError = "server answered with an error"
+	eventTakenOver   = "another server took over"
 	eventLimit       = "server limit"
 )
 
--- a/lib/gateways/retries.go
+++ b/lib/gateways/retries.go
@@ -9,8 +9,6 @@
 	"net/http"
 	"time"
 
-	"go.uber.org/zap"
-
 	"firford/lib/placements"
 	"firford/lib/routes"
 )
@@ -43,6 +41,9 @@
 	outcomeUnknown struct{ err error }
 	// serverError means that the server ran the request and answered with an error.
 	serverError struct{ answer *bufferedAnswer }
+	// superseded means that another server has sent something first. wasSilent is set for
+	// a server that had the request before that other one.
+	superseded struct{ wasSilent bool }
 	// callerGone means that the caller has disconnected.
 	callerGone struct{}
 
@@ -59,6 +60,7 @@
 func (notRun) isAttemptResult()         {}
 func (outcomeUnknown) isAttemptResult() {}
 func (serverError) isAttemptResult()    {}
+func (superseded) isAttemptResult()     {}
 func (callerGone) isAttemptResult()     {}
 
 // errAbandoned is the error of an attempt that is not made because the caller has
@@ -68,70 +70,76 @@
 // forwardWithRetries sends the request to one server after another until the
 // caller has an answer.
 func (request *request) forwardWithRetries(ctx context.Context) {
-	connectFailures, misdirections := 0, 0
 	for {
 		reservation, err := request.acquire(ctx)
 		if err != nil {
 			request.endUnplaced(ctx, err)
 			return
 		}
-		server := reservation.Server
-		request.placedAt = time.Now()
-		request.predictedDelay = reservation.Predicted
-		if reservation.Limited {
-			request.gateway.metrics.countLimitedAttempt()
+		request.recordPlacement(reservation)
+		if request.isEnded(ctx, request.attemptAt(ctx, reservation)) {
+			return
 		}
-		if reservation.Unlisted {
-			request.usesUnlistedServer = true
-			request.gateway.metrics.countUnlistedAttempt()
+	}
+}
+
+// attemptAt sends the request to the reserved server and relays the answer. It returns
+// how the last attempt ended.
+func (request *request) attemptAt(ctx context.Context, reservation *placements.Reservation) attemptResult {
+	attempt, failure := request.open(ctx, reservation)
+	if attempt == nil {
+		request.recordOutcome(reservation, failure)
+		return failure
+	}
+	return request.relay(ctx, attempt)
+}
+
+// recordPlacement records that the request has a reservation.
+func (request *request) recordPlacement(reservation *placements.Reservation) {
+	metrics := request.gateway.metrics
+	request.placedAt = time.Now()
+	request.predictedDelay = reservation.Predicted
+	if reservation.Limited {
+		metrics.countLimitedAttempt()
+	}
+	if reservation.Unlisted {
+		request.usesUnlistedServer = true
+		metrics.countUnlistedAttempt()
+	}
+	metrics.placementWait.RecordDuration(request.placedAt.Sub(request.arrivedAt))
+	request.triedServers = append(request.triedServers, reservation.Server.ID)
+}
+
+// isEnded reports whether the request has ended with the outcome of an attempt. It
+// answers the caller if no other server may get the request.
+func (request *request) isEnded(ctx context.Context, outcome attemptResult) bool {
+	switch outcome := outcome.(type) {
+	case delivered:
+		return true
+	case callerGone:
+		request.endDisconnected()
+	case notSent:
+		if request.connectFailures >= maxConnectFailures {
+			request.endNotRun(reasonNotReached)
+			return true
 		}
-		request.gateway.metrics.placementWait.RecordDuration(request.placedAt.Sub(request.arrivedAt))
-		request.triedServers = append(request.triedServers, server.ID)
-		outcome := request.sendTo(ctx, reservation)
-		request.gateway.Queue.release(reservation, placementOutcome(outcome))
-		request.gateway.metrics.countAttempt(outcome)
-		switch outcome := outcome.(type) {
-		case delivered:
-			return
-		case callerGone:
-			request.endDisconnected()
-		case notSent:
-			connectFailures++
-			request.log(eventNotReached, zap.String("server", server.ID), zap.String("address", server.Address), zap.Error(outcome.err))
-			if connectFailures >= maxConnectFailures {
-				request.endNotRun(reasonNotReached)
-				return
-			}
-		case notRun:
-			request.log(eventTurnedAway, zap.String("server", server.ID), zap.String("address", server.Address), zap.Bool("misdirected", outcome.misdirected))
-			if outcome.misdirected {
-				misdirections++
-			} else {
-				request.sentCount++
-			}
-			if misdirections >= maxMisdirections || !request.mayRetry(ctx) {
-				request.endNotRun(reasonTurnedAway)
-				return
-			}
-		case outcomeUnknown:
-			request.sentCount++
-			request.mayHaveRun = true
-			request.log(eventAnswerLost, zap.String("server", server.ID), zap.String("address", server.Address), zap.Any("versions", server.Versions), zap.Duration("silent_for", request.silentFor(time.Now())), zap.Error(outcome.err))
-			if !request.match.Route.MayRetry() || !request.mayRetry(ctx) {
-				request.fail(reasonAnswerLost)
-				return
-			}
-		case serverError:
-			request.sentCount++
-			request.mayHaveRun = true
-			request.errorAnswer = outcome.answer
-			request.log(eventServerError, zap.String("server", server.ID), zap.String("address", server.Address), zap.Int("server_status", outcome.answer.status))
-			if request.match.Route.RetryMode != routes.Idempotent || !request.mayRetry(ctx) {
-				request.deliver(outcome.answer)
-				return
-			}
+	case notRun:
+		if request.misdirections >= maxMisdirections || !request.mayRetry(ctx) {
+			request.endNotRun(reasonTurnedAway)
+			return true
+		}
+	case serverError:
+		if request.match.Route.RetryMode != routes.Idempotent || !request.mayRetry(ctx) {
+			request.deliver(outcome.answer)
+			return true
+		}
+	default:
+		if !request.match.Route.MayRetry() || !request.mayRetry(ctx) {
+			request.fail(reasonAnswerLost)
+			return true
 		}
 	}
+	return false
 }
 
 // acquire returns a reservation for the request. A request that got none in time for
@@ -206,6 +214,11 @@
 			return placements.Failed
 		}
 		return placements.Answered
+	case superseded:
+		if outcome.wasSilent {
+			return placements.Failed
+		}
+		return placements.Abandoned
 	case callerGone:
 		return placements.Abandoned
 	default:
--- a/lib/timelines/causes.go
+++ b/lib/timelines/causes.go
@@ -19,6 +19,7 @@
 	eventTurnedAway     = "server turned request away"
 	eventAnswerLost     = "answer lost"
 	eventServerError    = "server answered with an error"
+	eventTakenOver      = "another server took over"
 	eventOrderSent      = "order sent"
 	eventOrderEnded     = "order ended"
 	eventEngineLost     = "engine lost"
@@ -88,6 +89,8 @@
 			causes = append(causes, fmt.Sprintf("the answer of %s was lost: %s", server, explainLostAnswer(line, others)))
 		case eventServerError:
 			causes = append(causes, fmt.Sprintf("%s ran the request and answered %s", server, line.Fields["server_status"]))
+		case eventTakenOver:
+			causes = append(causes, explainTakeover(line))
 		}
 	}
 	return causes
@@ -100,6 +103,14 @@
 	return fmt.Sprintf("%s stated that it did not run the request: it was full or leaving", line.Fields["server"])
 }
 
+// explainTakeover explains why the answer of a server was not waited for any longer.
+func explainTakeover(line Line) string {
+	if line.Fields["silent"] == "true" {
+		return fmt.Sprintf("%s was silent for %s, and another server took over", line.Fields["server"], line.Fields["silent_for"])
+	}
+	return fmt.Sprintf("%s was not needed: the silent server before it went on", line.Fields["server"])
+}
+
 // explainLostAnswer explains a lost answer by an event of the engine shortly before,
 // or else by the error.
 func explainLostAnswer(line Line, others []Line) string {
