--- a/lib/gateways/dialect.go
+++ b/lib/gateways/dialect.go
@@ -28,6 +28,9 @@
 		Timeout     time.Duration
 		// PromptTokens is the length of the prompt in tokens, zero if unknown.
 		PromptTokens int
+		// SharedParts are the ids of the parts of the prompt that other requests may share,
+		// in order.
+		SharedParts []string
 	}
 
 	// ForwardInfo holds what the gateway adds to the caller's own headers when it
--- a/lib/gateways/fakes_test.go
+++ b/lib/gateways/fakes_test.go
@@ -27,7 +27,7 @@
 type testDialect struct{}
 
 func (testDialect) ParseRequest(header http.Header, now time.Time) RequestInfo {
-	info := RequestInfo{ID: header.Get("Id"), APIKey: header.Get("Key"), Model: header.Get("Model"), LastEventID: header.Get("After")}
+	info := RequestInfo{ID: header.Get("Id"), APIKey: header.Get("Key"), Model: header.Get("Model"), LastEventID: header.Get("After"), SharedParts: strings.Fields(header.Get("Parts"))}
 	if left, err := strconv.Atoi(header.Get("Left")); err == nil {
 		info.Timeout = time.Duration(left) * time.Millisecond
 		info.Deadline = now.Add(info.Timeout)
--- a/lib/gateways/request_log.go
+++ b/lib/gateways/request_log.go
@@ -96,6 +96,9 @@
 	if request.predictedDelay > 0 {
 		fields = append(fields, zap.Duration("predicted", request.predictedDelay))
 	}
+	if event == eventAnswerLost && len(request.info.SharedParts) > 0 {
+		fields = append(fields, zap.Strings("prompt_parts", request.info.SharedParts))
+	}
 	if request.usesUnlistedServer {
 		fields = append(fields, zap.Bool("unlisted", true))
 	}
