Let a stream of a silent server wait in the queue for the server that takes over

Cause: the request asked for room every 200 ms and was not in the queue, so others took each free place. Besides, silence was noticed only after the time that a stream may take to begin (3 targets) where that is longer than four gaps; events of the first server waited up to 300 ms while the second one was dialled; a second server that was not reached cost a retry; without retries left, a place was reserved and given back at each try; a version that was announced after the request was sent no longer moved it on; and a panic would have left attempts open.

Now the request waits in the queue as a resumed stream does and takes the first place, at most until its caller gives up; the timer follows the last event; the connection is opened in the background, and the retry is taken once it is open. What a relay holds is ended in one place, also by a panic.

--- a/lib/gateways/admission_queue.go
+++ b/lib/gateways/admission_queue.go
@@ -116,15 +116,28 @@
 	}
 }
 
-// tryAcquire returns a reservation at a server that has room now, or nil.
-func (queue *AdmissionQueue) tryAcquire(waiter placements.Waiter) *placements.Reservation {
-	queue.mutex.Lock()
-	defer queue.mutex.Unlock()
-	reservation := queue.dispatcher.TryPlace(waiter, time.Now())
-	if reservation != nil {
-		queue.notifySent(reservation)
+// pendingPlace is the place of a request in the queue. Its reservation arrives on granted.
+type pendingPlace struct {
+	waiter  placements.Waiter
+	number  uint64
+	granted chan *placements.Reservation
+}
+
+// enqueue returns a reservation or a place in the queue, or neither if the request is
+// refused. A place has to be given up with leave unless its reservation has arrived.
+func (queue *AdmissionQueue) enqueue(waiter placements.Waiter) (*placements.Reservation, *pendingPlace) {
+	reservation, granted, number, err := queue.admit(waiter)
+	if err != nil || reservation != nil {
+		return reservation, nil
+	}
+	return nil, &pendingPlace{waiter: waiter, number: number, granted: granted}
+}
+
+// leave gives up a place in the queue, and a reservation that it has got meanwhile.
+func (queue *AdmissionQueue) leave(place *pendingPlace) {
+	if reservation, _ := queue.cancelWait(place.waiter, place.number, place.granted); reservation != nil {
+		queue.release(reservation, placements.Abandoned)
 	}
-	return reservation
 }
 
 // admit places the request at once, refuses it or queues it. For a queued request
@@ -235,6 +248,13 @@
 	queue.dispatcher.CountRequest(service, time.Now())
 }
 
+// hasRetry reports whether the retry budget of the service allows one more retry.
+func (queue *AdmissionQueue) hasRetry(service string) bool {
+	queue.mutex.Lock()
+	defer queue.mutex.Unlock()
+	return queue.dispatcher.HasRetry(service, time.Now())
+}
+
 // takeRetry takes one retry from the retry budget of the service. It returns
 // false if the budget is used up.
 func (queue *AdmissionQueue) takeRetry(service string) bool {
--- a/lib/gateways/attempts.go
+++ b/lib/gateways/attempts.go
@@ -17,9 +17,14 @@
 	"firford/lib/routes"
 )
 
+// errNoRetryLeft is the error of an attempt for which the retry budget was used up while
+// its connection was opened.
+var errNoRetryLeft = errors.New("no retry left")
+
 type (
 	// attempt is a request at one server. silentAt is when the server counts as silent,
-	// zero if no other server may take its place. head is nil until it has arrived.
+	// zero if no other server may take its place. conn is nil until the connection is open,
+	// and head is nil until the head of the answer has arrived.
 	attempt struct {
 		reservation *placements.Reservation
 		conn        *connection
@@ -31,9 +36,16 @@
 		head        *answerHead
 	}
 
-	// answerPart is a part of a server's answer. The variants are sealed.
+	// answerPart is what an attempt reports: that its connection is open, or a part of the
+	// server's answer. The variants are sealed.
 	answerPart interface{ isAnswerPart() }
 
+	// connected is the end of opening the connection, which failed if err is set.
+	connected struct {
+		conn *connection
+		err  error
+	}
+
 	// answerHead is the first part of an answer.
 	answerHead struct {
 		response *http.Response
@@ -54,33 +66,61 @@
 	answerEnd struct{ err error }
 )
 
+func (connected) isAnswerPart()    {}
 func (answerHead) isAnswerPart()   {}
 func (answerEvents) isAnswerPart() {}
 func (answerBody) isAnswerPart()   {}
 func (answerEnd) isAnswerPart()    {}
 
+func newAttempt(reservation *placements.Reservation) *attempt {
+	return &attempt{reservation: reservation, parts: make(chan answerPart), closed: make(chan struct{})}
+}
+
 // open sends the request to the reserved server and begins to read the answer. Without
 // an attempt it returns how the attempt ended.
 func (request *request) open(ctx context.Context, reservation *placements.Reservation) (*attempt, attemptResult) {
-	gateway, server := request.gateway, reservation.Server
+	attempt := newAttempt(reservation)
+	conn, err := request.connect(ctx, reservation.Server)
+	if failure := request.begin(ctx, attempt, conn, err); failure != nil {
+		attempt.close()
+		return nil, failure
+	}
+	return attempt, nil
+}
+
+// openInBackground opens the connection in a goroutine, so that the request can go on
+// with the answer of another server meanwhile.
+func (request *request) openInBackground(ctx context.Context, reservation *placements.Reservation) *attempt {
+	attempt := newAttempt(reservation)
+	go func() {
+		conn, err := request.connect(ctx, reservation.Server)
+		if !attempt.pass(connected{conn: conn, err: err}) && err == nil {
+			conn.abort()
+		}
+	}()
+	return attempt
+}
+
+func (request *request) connect(ctx context.Context, server placements.Server) (*connection, error) {
 	requireNew := !request.match.Route.MayRetry() || request.isReplacementAnnounced(server)
-	conn, err := gateway.pool.get(ctx, server.ID, server.Address, requireNew)
+	return request.gateway.pool.get(ctx, server.ID, server.Address, requireNew)
+}
+
+// begin sends the request over the opened connection and begins to read the answer. It
+// returns how the attempt ended, nil if it goes on.
+func (request *request) begin(ctx context.Context, attempt *attempt, conn *connection, err error) attemptResult {
 	if err != nil {
-		return nil, request.classifyError(ctx, err)
-	}
-	attempt := &attempt{
-		reservation: reservation, conn: conn, stopAbort: conn.abortOnCancel(ctx), sentAt: time.Now(),
-		parts: make(chan answerPart), closed: make(chan struct{}),
+		return request.classifyError(ctx, err)
 	}
+	attempt.conn, attempt.stopAbort, attempt.sentAt = conn, conn.abortOnCancel(ctx), time.Now()
 	if failure := request.send(ctx, attempt); failure != nil {
-		attempt.close()
-		return nil, failure
+		return failure
 	}
 	attempt.silentAt = request.firstSilentAt(attempt.sentAt)
 	deadline := request.deadline.Add(answerMargin)
-	_ = conn.SetReadDeadline(earlier(deadline, request.versionDeadline(server)))
-	go attempt.read(gateway.Dialect, request.received.Method, request.info.ID, request.match.Route.RetryMode == routes.Stream, deadline)
-	return attempt, nil
+	_ = conn.SetReadDeadline(earlier(deadline, request.versionDeadline(attempt.reservation.Server)))
+	go attempt.read(request.gateway.Dialect, request.received.Method, request.info.ID, request.match.Route.RetryMode == routes.Stream, deadline)
+	return nil
 }
 
 // send sends the request over the attempt's connection, unless its caller has left.
@@ -151,8 +191,11 @@
 
 // close aborts the connection.
 func (attempt *attempt) close() {
-	attempt.stopAbort()
 	close(attempt.closed)
+	if attempt.conn == nil {
+		return
+	}
+	attempt.stopAbort()
 	attempt.conn.abort()
 }
 
@@ -191,6 +234,9 @@
 		request.mayHaveRun = true
 		request.log(eventAnswerLost, append(place, zap.Any("versions", server.Versions), zap.Duration("silent_for", request.silentFor(time.Now())), zap.Error(outcome.err))...)
 	case superseded:
+		if !outcome.wasSent {
+			return
+		}
 		request.sentCount++
 		request.mayHaveRun = true
 		request.log(eventTakenOver, append(place, zap.Bool("silent", outcome.wasSilent), zap.Duration("silent_for", request.silentFor(time.Now())))...)
--- a/lib/gateways/deadlines.go
+++ b/lib/gateways/deadlines.go
@@ -59,8 +59,12 @@
 	if request.match.Route.RetryMode != routes.Stream {
 		return false
 	}
-	silenceLimit := max(abandonTime, abandonTargets*request.target(), abandonGaps*request.match.Route.EventGap)
-	return now.After(request.lastDeliveredAt.Add(silenceLimit))
+	return now.After(request.abandonedAt())
+}
+
+// abandonedAt returns when the caller gives up on the stream if it receives nothing.
+func (request *request) abandonedAt() time.Time {
+	return request.lastDeliveredAt.Add(max(abandonTime, abandonTargets*request.target(), abandonGaps*request.match.Route.EventGap))
 }
 
 // silentFor returns how long the caller has received nothing.
--- a/lib/gateways/forward.go
+++ b/lib/gateways/forward.go
@@ -105,6 +105,8 @@
 // can be retried.
 func (request *request) handlePart(ctx context.Context, attempt *attempt, part answerPart) attemptResult {
 	switch part := part.(type) {
+	case connected:
+		return request.beginTakeover(ctx, attempt, part)
 	case answerHead:
 		attempt.head = &part
 		return request.handleHead(attempt)
--- a/lib/gateways/retries.go
+++ b/lib/gateways/retries.go
@@ -41,9 +41,9 @@
 	outcomeUnknown struct{ err error }
 	// serverError means that the server ran the request and answered with an error.
 	serverError struct{ answer *bufferedAnswer }
-	// superseded means that another server has sent something first. wasSilent is set for
-	// a server that had the request before that other one.
-	superseded struct{ wasSilent bool }
+	// superseded means that another server has sent something first. wasSent is set if the
+	// request was sent to this one, and wasSilent if that was before the other one had it.
+	superseded struct{ wasSent, wasSilent bool }
 	// callerGone means that the caller has disconnected.
 	callerGone struct{}
 
@@ -91,7 +91,7 @@
 		request.recordOutcome(reservation, failure)
 		return failure
 	}
-	return request.relay(ctx, attempt)
+	return request.relayAnswer(ctx, attempt)
 }
 
 // recordPlacement records that the request has a reservation.
@@ -215,7 +215,7 @@
 		}
 		return placements.Answered
 	case superseded:
-		if outcome.wasSilent {
+		if outcome.wasSent && outcome.wasSilent {
 			return placements.Failed
 		}
 		return placements.Abandoned
--- a/lib/gateways/silence_test.go
+++ b/lib/gateways/silence_test.go
@@ -1,14 +1,19 @@
 package gateways
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/smartystreets/goconvey/convey"
+
+	"firford/lib/placements"
+	"firford/lib/routes"
 )
 
 // silence is longer than the longest gap after which the fixture's routes may send a
@@ -81,22 +86,36 @@
 	})
 }
 
+// silentAfter writes so many events and then nothing more.
+func silentAfter(sent int) script {
+	return func(conn net.Conn, received *http.Request) bool {
+		if sent > 0 {
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: yes\r\nTransfer-Encoding: chunked\r\n\r\n", received.Header.Get("Id"))
+		}
+		for i := 1; i <= sent; i++ {
+			writeChunk(conn, event(i))
+		}
+		return hang(conn, received)
+	}
+}
+
+// setRoutes changes all routes of the fixture's configuration.
+func (fixture *gatewayFixture) setRoutes(change func(*routes.Route)) {
+	next := configuration()
+	for i := range next.Routes {
+		change(&next.Routes[i])
+	}
+	table := routes.New(next)
+	fixture.gateway.Table = func() routes.Table { return table }
+}
+
 // Guards against callers that wait for a server which has died without closing its
 // connections, although another one could take their streams over.
 func TestStreamOfSilentServerIsTakenOver(t *testing.T) {
 	const events = 8
 	convey.Convey("Given a server that falls silent for good and one that is sound", t, func() {
 		for _, sent := range []int{0, 3} {
-			dead := newScriptedServer(t, func(conn net.Conn, received *http.Request) bool {
-				if sent > 0 {
-					fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: yes\r\nTransfer-Encoding: chunked\r\n\r\n", received.Header.Get("Id"))
-				}
-				for i := 1; i <= sent; i++ {
-					writeChunk(conn, event(i))
-				}
-				return hang(conn, received)
-			})
-			fixture := newGatewayFixture(t, 1, dead, newScriptedServer(t, streamUntil(events, true)))
+			fixture := newGatewayFixture(t, 1, newScriptedServer(t, silentAfter(sent)), newScriptedServer(t, streamUntil(events, true)))
 			for range 4 {
 				began := time.Now()
 				_, _, body, err := fixture.post(t, "/events/", "")
@@ -108,3 +127,83 @@
 		}
 	})
 }
+
+// Guards against a stream that stays with a dead server because other requests take each
+// place that becomes free at the sound one.
+func TestStreamOfSilentServerIsTakenOverUnderLoad(t *testing.T) {
+	const events, callers, workTime = 8, 24, 50 * time.Millisecond
+	convey.Convey("Given a server that falls silent for good and a sound one that is full", t, func() {
+		begun := make(chan struct{}, 1)
+		unlessLoad := func(stream script) script {
+			return func(conn net.Conn, received *http.Request) bool {
+				if received.Header.Get("Load") == "" {
+					return stream(conn, received)
+				}
+				time.Sleep(workTime)
+				return answer(http.StatusOK, signedHeader, "slip")(conn, received)
+			}
+		}
+		dead := newScriptedServer(t, unlessLoad(func(conn net.Conn, received *http.Request) bool {
+			begun <- struct{}{}
+			return silentAfter(3)(conn, received)
+		}))
+		fixture := newGatewayFixture(t, 1, dead, newScriptedServer(t, unlessLoad(streamUntil(events, true))))
+		fixture.setRoutes(func(route *routes.Route) { route.EventGap, route.Timeout = 200*time.Millisecond, 4*time.Second })
+		// Makes the gateway prefer the server that will be silent.
+		fixture.queue.UpdateFleet(func(fleet *placements.Fleet, now time.Time) { fleet.RecordStart("1", 0, now) })
+		ctx, cancel := context.WithCancel(context.Background())
+		var group sync.WaitGroup
+		group.Go(func() {
+			<-begun
+			fixture.queue.UpdateFleet(func(fleet *placements.Fleet, now time.Time) { fleet.RecordEnd("1", placements.Answered, now) })
+			for range callers {
+				group.Go(func() {
+					for ctx.Err() == nil {
+						_, _, _, _ = fixture.post(t, "/again/", "", "Load", "yes")
+					}
+				})
+			}
+		})
+		began := time.Now()
+		_, _, body, err := fixture.post(t, "/events/", "")
+		elapsed := time.Since(began)
+		cancel()
+		group.Wait()
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(body, convey.ShouldEqual, completeStream(events))
+		convey.So(elapsed, convey.ShouldBeLessThan, abandonTime)
+	})
+}
+
+// Guards against silence in a stream that is noticed only after the time that a stream
+// may take to begin.
+func TestSilenceCountsFromLastEvent(t *testing.T) {
+	const events, gap = 8, 100 * time.Millisecond
+	convey.Convey("Given a route with a late target and short gaps", t, func() {
+		fixture := newGatewayFixture(t, 1, newScriptedServer(t, silentAfter(3)), newScriptedServer(t, streamUntil(events, true)))
+		fixture.setRoutes(func(route *routes.Route) { route.FirstEventTarget, route.EventGap = time.Second, gap })
+		for range 4 {
+			began := time.Now()
+			_, _, body, err := fixture.post(t, "/events/", "")
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(body, convey.ShouldEqual, completeStream(events))
+			convey.So(time.Since(began), convey.ShouldBeLessThan, 2*eventTimeoutGaps*gap)
+		}
+	})
+}
+
+// Guards against retries that are spent although no server got the request.
+func TestUnreachableServersTakeNoRetries(t *testing.T) {
+	convey.Convey("Given a silent server, and others that can't be reached", t, func() {
+		servers := []*scriptedServer{newScriptedServer(t, streamWithSilence(4, 8))}
+		for port := 1; port < maxConnectFailures; port++ {
+			servers = append(servers, &scriptedServer{address: "127.0.0.1:" + strconv.Itoa(port)})
+		}
+		fixture := newGatewayFixture(t, 1, servers...)
+		before := fixture.queue.serviceStatus("desk").RetriesLeft
+		_, _, body, err := fixture.post(t, "/events/", "")
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(body, convey.ShouldEqual, completeStream(8))
+		convey.So(fixture.queue.serviceStatus("desk").RetriesLeft, convey.ShouldBeGreaterThanOrEqualTo, before)
+	})
+}
--- a/lib/gateways/takeover.go
+++ b/lib/gateways/takeover.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -18,61 +19,80 @@
 	"firford/lib/routes"
 )
 
-// takeoverInterval is the pause after which a request at a silent server looks again for
-// another one, if none had room.
-const takeoverInterval = 200 * time.Millisecond
+const (
+	// takeoverInterval is the pause after which a request at a silent server is offered to
+	// the queue again, if the queue has refused it.
+	takeoverInterval = 200 * time.Millisecond
+	// maxContenders is the number of servers that may work on a request at the same time.
+	maxContenders = 2
+)
+
+// errVersionDue is the error of an attempt that had not begun when the version of its
+// server had to be replaced.
+var errVersionDue = errors.New("the version of the server is due to be replaced")
 
-// maxContenders is the number of servers that may work on a request at the same time.
-const maxContenders = 2
+// relay is the state of a request that is at one or two servers. place is set while the
+// first one is silent and the request waits for room at a second one.
+type relay struct {
+	request *request
+	open    []*attempt
+	place   *pendingPlace
+	timer   *time.Timer
+}
 
-// relay passes the answer of the server on to the caller. While that server is silent,
-// another one may take its place. It ends all attempts but a failed last one, whose
-// result it returns.
-func (request *request) relay(ctx context.Context, first *attempt) attemptResult {
-	open := []*attempt{first}
-	timer := time.NewTimer(time.Until(first.silentAt))
-	defer timer.Stop()
+// relayAnswer passes the answer of the server on to the caller. While that server is
+// silent, another one may take its place. It ends all attempts and returns how the last
+// one ended.
+func (request *request) relayAnswer(ctx context.Context, first *attempt) attemptResult {
+	relay := &relay{request: request, open: []*attempt{first}, timer: time.NewTimer(time.Until(first.silentAt))}
+	defer relay.stop()
 	for {
-		current, part := nextPart(open, timer)
-		if current == nil {
-			open = request.openSecond(ctx, open, timer)
-			continue
-		}
-		outcome := request.handlePart(ctx, current, part)
-		if isProgress(part, outcome) && len(open) > 1 {
-			open = request.closeOthers(open, current)
-			timer.Reset(time.Until(current.silentAt))
-		}
-		if outcome == nil {
-			continue
-		}
-		request.endAttempt(current, outcome)
-		open = slices.DeleteFunc(open, func(each *attempt) bool { return each == current })
-		if _, isGone := outcome.(callerGone); isGone || len(open) == 0 {
-			for _, other := range open {
-				request.endAttempt(other, callerGone{})
-			}
+		if outcome := relay.step(ctx); outcome != nil {
 			return outcome
 		}
-		timer.Reset(takeoverInterval)
 	}
 }
 
-// nextPart waits for the next part of an answer, or for the timer, for which it returns
-// no attempt.
-func nextPart(open []*attempt, timer *time.Timer) (*attempt, answerPart) {
+// step waits for the next event and handles it. It returns the outcome of the request at
+// these servers, nil if it goes on.
+func (relay *relay) step(ctx context.Context) attemptResult {
+	var granted chan *placements.Reservation
+	if relay.place != nil {
+		granted = relay.place.granted
+	}
 	var second chan answerPart
-	if len(open) > 1 {
-		second = open[1].parts
+	if len(relay.open) == maxContenders {
+		second = relay.open[1].parts
 	}
 	select {
-	case part := <-open[0].parts:
-		return open[0], part
+	case part := <-relay.open[0].parts:
+		return relay.handle(ctx, relay.open[0], part)
 	case part := <-second:
-		return open[1], part
-	case <-timer.C:
-		return nil, nil
+		return relay.handle(ctx, relay.open[1], part)
+	case reservation := <-granted:
+		relay.place = nil
+		relay.openSecond(ctx, reservation)
+	case <-relay.timer.C:
+		return relay.onTimer(ctx)
 	}
+	return nil
+}
+
+// handle handles a part of the answer of one of the servers.
+func (relay *relay) handle(ctx context.Context, current *attempt, part answerPart) attemptResult {
+	outcome := relay.request.handlePart(ctx, current, part)
+	if isProgress(part, outcome) {
+		relay.keepOnly(current)
+	}
+	if outcome == nil {
+		return nil
+	}
+	relay.end(current, outcome)
+	if _, isGone := outcome.(callerGone); isGone || len(relay.open) == 0 {
+		return outcome
+	}
+	relay.timer.Reset(takeoverInterval)
+	return nil
 }
 
 // isProgress reports whether the caller got something, or its final answer, from the part.
@@ -88,67 +108,110 @@
 	}
 }
 
-// closeOthers ends all attempts but the one whose server has sent something.
-func (request *request) closeOthers(open []*attempt, current *attempt) []*attempt {
-	for _, other := range open {
+// keepOnly ends the other attempt and gives up the place in the queue.
+func (relay *relay) keepOnly(current *attempt) {
+	relay.leaveQueue()
+	for _, other := range slices.Clone(relay.open) {
 		if other != current {
-			request.endAttempt(other, superseded{wasSilent: other.sentAt.Before(current.sentAt)})
+			relay.end(other, superseded{wasSent: !other.sentAt.IsZero(), wasSilent: other.sentAt.Before(current.sentAt)})
 		}
 	}
-	return []*attempt{current}
+	relay.timer.Reset(time.Until(current.silentAt))
 }
 
-// openSecond sends the request to a second server if the first one is silent, and sets
-// the timer to when it has to be called again. Without another server that may take its
-// place, the first one has until the deadline of the request.
-func (request *request) openSecond(ctx context.Context, open []*attempt, timer *time.Timer) []*attempt {
-	first := open[0]
-	if len(open) == maxContenders || first.silentAt.IsZero() {
-		return open
-	}
-	if wait := time.Until(first.silentAt); wait > 0 {
-		timer.Reset(wait)
-		return open
+// end ends one attempt.
+func (relay *relay) end(ended *attempt, outcome attemptResult) {
+	relay.open = slices.DeleteFunc(relay.open, func(each *attempt) bool { return each == ended })
+	relay.request.endAttempt(ended, outcome)
+}
+
+// stop ends what is left when the request has ended, also by a panic.
+func (relay *relay) stop() {
+	relay.timer.Stop()
+	relay.leaveQueue()
+	for _, attempt := range slices.Clone(relay.open) {
+		relay.end(attempt, callerGone{})
 	}
-	if second := request.tryTakeover(ctx); second != nil {
-		open = append(open, second)
+}
+
+func (relay *relay) leaveQueue() {
+	if relay.place == nil {
+		return
 	}
-	timer.Reset(takeoverInterval)
-	return open
+	relay.request.gateway.Queue.leave(relay.place)
+	relay.place = nil
 }
 
-// tryTakeover sends the request to another server that has room now. It returns nil if
-// there is none, or if the request may not be sent again.
-func (request *request) tryTakeover(ctx context.Context) *attempt {
-	if !request.mayTakeOver() || ctx.Err() != nil || request.callerGaveUp(time.Now()) {
+// onTimer looks for a second server if the first one is silent. Without another one, the
+// first one has until the deadline of the request, but may not begin it on a version that
+// is due to be replaced, which may have been announced meanwhile.
+func (relay *relay) onTimer(ctx context.Context) attemptResult {
+	first := relay.open[0]
+	if first.silentAt.IsZero() {
 		return nil
 	}
-	queue := request.gateway.Queue
-	reservation := queue.tryAcquire(request.waiter())
-	if reservation == nil {
+	if wait := time.Until(first.silentAt); wait > 0 {
+		relay.timer.Reset(wait)
 		return nil
 	}
-	if !queue.takeRetry(request.service) {
-		queue.release(reservation, placements.Abandoned)
-		return nil
+	relay.timer.Reset(takeoverInterval)
+	if first.conn != nil && first.head == nil && !time.Now().Before(relay.request.versionDeadline(first.reservation.Server)) {
+		return relay.handle(ctx, first, answerEnd{err: errVersionDue})
+	}
+	if relay.place != nil && !time.Now().Before(relay.place.waiter.StartBy) {
+		relay.leaveQueue()
+	}
+	if relay.place == nil && len(relay.open) < maxContenders && relay.request.mayTakeOver(ctx) {
+		relay.seekSecond(ctx)
+	}
+	return nil
+}
+
+// seekSecond asks the queue for room at a second server.
+func (relay *relay) seekSecond(ctx context.Context) {
+	request := relay.request
+	waiter := request.waiter()
+	if request.streaming {
+		// The silent server may still go on, so the wait may be as long as the caller's.
+		waiter.StartBy = earlier(request.abandonedAt(), request.deadline)
+	}
+	reservation, place := request.gateway.Queue.enqueue(waiter)
+	relay.place = place
+	if reservation != nil {
+		relay.openSecond(ctx, reservation)
 	}
-	request.recordPlacement(reservation)
-	second, failure := request.open(ctx, reservation)
-	if second == nil {
-		request.recordOutcome(reservation, failure)
+}
+
+// openSecond begins an attempt at a second server.
+func (relay *relay) openSecond(ctx context.Context, reservation *placements.Reservation) {
+	relay.request.recordPlacement(reservation)
+	relay.open = append(relay.open, relay.request.openInBackground(ctx, reservation))
+}
+
+// beginTakeover sends the request to a second server, which takes a retry.
+func (request *request) beginTakeover(ctx context.Context, attempt *attempt, opened connected) attemptResult {
+	if opened.err == nil && !request.gateway.Queue.takeRetry(request.service) {
+		opened.conn.abort()
+		return notSent{err: errNoRetryLeft}
 	}
-	return second
+	return request.begin(ctx, attempt, opened.conn, opened.err)
+}
+
+// mayTakeOver reports whether the request may be sent to one more server now.
+func (request *request) mayTakeOver(ctx context.Context) bool {
+	return request.allowsTakeover() && ctx.Err() == nil && !request.callerGaveUp(time.Now()) && request.gateway.Queue.hasRetry(request.service)
 }
 
-// mayTakeOver reports whether the route allows one more server beside the present one.
-func (request *request) mayTakeOver() bool {
-	return request.match.Route.MayRetry() && request.sentCount+1 < request.match.Route.MaxAttempts && request.connectFailures < maxConnectFailures
+// allowsTakeover reports whether the route allows one more server beside the present one.
+func (request *request) allowsTakeover() bool {
+	return request.match.Route.MayRetry() && request.sentCount+1 < request.match.Route.MaxAttempts &&
+		request.connectFailures < maxConnectFailures && request.misdirections < maxMisdirections
 }
 
 // firstSilentAt returns when a server counts as silent that has not begun to answer.
 func (request *request) firstSilentAt(sentAt time.Time) time.Time {
 	switch {
-	case !request.mayTakeOver():
+	case !request.allowsTakeover():
 		return time.Time{}
 	case request.match.Route.RetryMode == routes.Stream:
 		return sentAt.Add(firstEventTargets * request.target())
@@ -160,7 +223,7 @@
 
 // nextSilentAt returns when a server counts as silent after an event.
 func (request *request) nextSilentAt() time.Time {
-	if !request.mayTakeOver() {
+	if !request.allowsTakeover() {
 		return time.Time{}
 	}
 	return request.lastDeliveredAt.Add(eventTimeoutGaps * request.maxEventGap())
--- a/lib/placements/dispatcher.go
+++ b/lib/placements/dispatcher.go
@@ -104,11 +104,13 @@
 
 // Admit places the request at once, queues it or refuses it.
 func (dispatcher *Dispatcher) Admit(waiter Waiter, now time.Time) Decision {
-	if reservation := dispatcher.TryPlace(waiter, now); reservation != nil {
-		return Placed{Reservation: reservation}
-	}
 	service := waiter.Requirements.Service
 	ahead := dispatcher.queues[service].CountAhead(waiter)
+	if ahead == 0 {
+		if reservation := dispatcher.reserve(waiter.Requirements, now); reservation != nil {
+			return Placed{Reservation: reservation}
+		}
+	}
 	wait := dispatcher.expectedWait(waiter.Requirements, ahead, now)
 	if now.Add(wait).After(waiter.StartBy) || dispatcher.isExhausted(waiter.Requirements, now) {
 		return dispatcher.newRefusal(waiter.Requirements, ahead, wait, now)
@@ -119,15 +121,6 @@
 	return Queued{Number: waiter.Number}
 }
 
-// TryPlace places the request if a server has room for it now and no request waits that
-// goes first. Otherwise it returns nil.
-func (dispatcher *Dispatcher) TryPlace(waiter Waiter, now time.Time) *Reservation {
-	if dispatcher.queues[waiter.Requirements.Service].CountAhead(waiter) > 0 {
-		return nil
-	}
-	return dispatcher.reserve(waiter.Requirements, now)
-}
-
 // isExhausted reports whether the request was already sent to all servers, so that no
 // wait helps it.
 func (dispatcher *Dispatcher) isExhausted(requirements Requirements, now time.Time) bool {
@@ -265,6 +258,11 @@
 	return allowed
 }
 
+// HasRetry reports whether the budget of the service allows one more retry.
+func (dispatcher *Dispatcher) HasRetry(service string, now time.Time) bool {
+	return dispatcher.retryBudgets[service].Remaining(now) >= 1
+}
+
 // ServiceStatus returns the status of a service for plain requests.
 func (dispatcher *Dispatcher) ServiceStatus(service string, now time.Time) ServiceStatus {
 	return ServiceStatus{
