Let bytes to a server stay unacknowledged for three seconds

A sound server that reads nothing for two seconds while a long request fills its window lost the request, and the caller got 502. Dead servers lose their requests to others before that, or when the caller gives up, so the shorter limit gained nothing for requests under way.

go test -count=1 -run TestLongRequestOutlastsSilence ./lib/gateways 502 before, 200 now

--- a/lib/gateways/connections.go
+++ b/lib/gateways/connections.go
@@ -34,8 +34,9 @@
 	idleMargin = time.Second
 	// maxIdlePerServer bounds the idle connections to one server.
 	maxIdlePerServer = 24
-	// unackedTimeout is how long bytes sent to a server may stay unacknowledged.
-	unackedTimeout = 1500 * time.Millisecond
+	// unackedTimeout is how long bytes sent to a server may stay unacknowledged. It exceeds
+	// the silence of a sound server; another server takes a dead one's place earlier.
+	unackedTimeout = 3 * time.Second
 	readBufferSize = 4096
 	// maxStaleAnswers bounds how many answers are read to find the one that belongs
 	// to the request. Informational answers and answers to earlier requests are
--- a/lib/gateways/silence_test.go
+++ b/lib/gateways/silence_test.go
@@ -6,7 +6,9 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -207,3 +209,37 @@
 		convey.So(fixture.queue.serviceStatus("desk").RetriesLeft, convey.ShouldBeGreaterThanOrEqualTo, before)
 	})
 }
+
+// Guards against a long request that breaks off because its server does not read for two
+// seconds: its bytes stay unacknowledged, like those to a host without power.
+func TestLongRequestOutlastsSilence(t *testing.T) {
+	const bodyBytes, windowBytes, pause = 12 << 20, 4096, 2 * time.Second
+	convey.Convey("Given a server that reads only the first bytes of a request for a while", t, func() {
+		config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+			return raw.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, windowBytes) })
+		}}
+		listener, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
+		convey.So(err, convey.ShouldBeNil)
+		defer func() { _ = listener.Close() }()
+		server := &scriptedServer{address: listener.Addr().String(), scripts: []script{answer(http.StatusOK, signedHeader, "slip")}}
+		go func() {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			time.Sleep(pause)
+			server.serve(conn)
+		}()
+		fixture := newGatewayFixture(t, 1, server)
+		next := configuration()
+		next.Limits.BodyBytes = bodyBytes
+		for i := range next.Routes {
+			next.Routes[i].Timeout = 10 * time.Second
+		}
+		table := routes.New(next)
+		fixture.gateway.Table = func() routes.Table { return table }
+		status, _, _, err := fixture.post(t, "/once/", strings.Repeat("x", bodyBytes))
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(status, convey.ShouldEqual, http.StatusOK)
+	})
+}
