Answer a request that arrives with no time left

The read deadline for the body was over already, and applied to the HTTP server's wait for the caller's close as well, so that the caller counted as disconnected. A request whose deadline has passed is now refused at once, since it has not run, and a request without a body sets no read deadline.

--- a/lib/gateways/gateway.go
+++ b/lib/gateways/gateway.go
@@ -206,6 +206,10 @@
 	request.service = match.Route.PickService(rand.Float64())
 	request.deadline = request.answerDeadline()
 	request.firstArrivedAt = request.arrivedAt.Add(-request.gateway.callerTimeouts.elapsed(match.Route.Name, request.info.Timeout))
+	if !time.Now().Before(request.deadline) {
+		request.refuse(reasonDeadline, refusedRetryAfter)
+		return
+	}
 	if !request.readBody(table.Limits().BodyBytes) {
 		return
 	}
@@ -233,6 +237,11 @@
 // caller that disconnects never leaves a server with a partial request. It returns
 // false if the body exceeds the limit, after answering so.
 func (request *request) readBody(limit int64) bool {
+	if request.received.Body == http.NoBody {
+		// A read deadline would end the server's wait for the caller's close, and the caller
+		// would count as disconnected.
+		return true
+	}
 	controller := http.NewResponseController(request.writer)
 	_ = controller.SetReadDeadline(request.deadline) // Fails only on writers without a connection.
 	body, err := io.ReadAll(http.MaxBytesReader(request.writer, request.received.Body, limit))
--- a/lib/gateways/silence_test.go
+++ b/lib/gateways/silence_test.go
@@ -243,3 +243,19 @@
 		convey.So(status, convey.ShouldEqual, http.StatusOK)
 	})
 }
+
+// Guards against connections that are closed without an answer because the caller's time
+// is over when its request arrives.
+func TestRequestWithoutTimeLeftIsRefused(t *testing.T) {
+	convey.Convey("Given requests with hardly any time left, each gets an answer", t, func() {
+		fixture := newGatewayFixture(t, 1, newScriptedServer(t, answer(http.StatusOK, signedHeader, "slip")))
+		for range 40 {
+			for _, left := range []string{"0", "-5", "1"} {
+				for _, body := range []string{"", "body"} {
+					_, _, _, err := fixture.post(t, "/again/", body, "Left", left)
+					convey.So(err, convey.ShouldBeNil)
+				}
+			}
+		}
+	})
+}
