--- a/lib/gateways/silence_test.go
+++ b/lib/gateways/silence_test.go
@@ -216,7 +216,9 @@
 	const bodyBytes, windowBytes, pause = 12 << 20, 4096, 2 * time.Second
 	convey.Convey("Given a server that reads only the first bytes of a request for a while", t, func() {
 		config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
-			return raw.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, windowBytes) })
+			return raw.Control(func(fd uintptr) {
+				_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, windowBytes)
+			})
 		}}
 		listener, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
 		convey.So(err, convey.ShouldBeNil)
