Fail answers of servers that exceed a bound

Cause: io.ReadAll with a LimitReader took the bound of a body for its end, in relayAnswer and while answers to other requests are skipped, and http.ReadResponse has no bound for a head. A signed 200 of 20 MiB, or one that never ends, reached the caller as a complete 200 of 16 MiB; the rest of a skipped answer was parsed as the next answer; a head without end grew until the deadline.

Ruled out: http.MaxBytesReader fails as wanted but leaves the growth of io.ReadAll uncounted. A smaller maxAnswerBytes alone doesn't bound the sum over all requests. Waiting for the budget instead of failing could block requests on each other until their deadlines.

Change: an answer over a bound is outcomeUnknown with a tooLongError, so its connection is closed, its server counts as failed and the route's retry rules apply. The heads that are read for one answer (informational ones and those of skipped answers included) share maxHeadBytes (16 KiB). Buffers of bodies and events beyond 64 KiB of each request share maxBufferedBytes (32 MiB); usual answers, of a few kilobytes, never depend on it. An event id is bounded (1 KiB), since it is kept and sent in a header. eventReader searches only new bytes for the end of an event and reads into its buffer; events are valid until the next call.

Before, `go test -v -run 'Oversized|Memory' ./lib/gateways`: TestOversizedAnswersAreFailures: body of 20 MiB, body without length or end, chunks without end, body of 20 MiB to an earlier request: "Expected: 502 Actual: 200"; status line without end: "cannot allocate-byte block" with ulimit -v 3000000 TestOversizedAnswersAreLogged: "Expected collection to have length equal to [1], but its length was [0]", "Expected 'context deadline exceeded' to contain substring 'head of the answer exceeds'" TestMemoryOfConcurrentAnswersIsBounded with 200 connections (300 were not run before the change, to spare the machine): bodies 909 MB, heads 1229 MB, short headers 939 MB, "to be less than '' (but it wasn't)". The case of events passed (122 MB), because the search through all bytes was too slow to fill the buffers. After, 300 connections at a time: bodies 129 MB, bodies of 15 MiB 137 MB, heads 38 MB, short headers 61 MB, heads of 15 KiB with bodies 187 MB, events 139 MB, of 284 MB. With -race all tests of the package pass; FuzzEvents 15 s without a finding.

--- a/lib/gateways/connections.go
+++ b/lib/gateways/connections.go
@@ -12,7 +12,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -51,6 +50,7 @@
 	connection struct {
 		net.Conn
 		reader    *bufio.Reader
+		head      *headReader
 		isNew     bool
 		idleUntil time.Time
 	}
@@ -136,7 +136,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", errNotSent, err)
 	}
-	return &connection{Conn: conn, reader: bufio.NewReaderSize(conn, readBufferSize), isNew: true}, nil
+	head := &headReader{source: conn}
+	return &connection{Conn: conn, reader: bufio.NewReaderSize(head, readBufferSize), head: head, isNew: true}, nil
 }
 
 // isReusable reports whether an idle connection is still open and holds no
@@ -195,8 +196,9 @@
 // answer without an id is accepted only on a new connection, which carried no
 // earlier request.
 func (conn *connection) readAnswer(dialect Dialect, method, id string) (*http.Response, ResponseInfo, error) {
+	headBytesLeft := maxHeadBytes
 	for range maxStaleAnswers {
-		response, err := http.ReadResponse(conn.reader, &http.Request{Method: method})
+		response, err := conn.readHead(method, &headBytesLeft)
 		if err != nil {
 			return nil, ResponseInfo{}, fmt.Errorf("read answer: %w", err)
 		}
@@ -207,7 +209,7 @@
 		if info.ID == id || info.ID == "" && conn.isNew {
 			return response, info, nil
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxAnswerBytes)); err != nil {
+		if err := skipBody(response); err != nil {
 			return nil, ResponseInfo{}, fmt.Errorf("skip answer to another request: %w", err)
 		}
 	}
--- a/lib/gateways/forward.go
+++ b/lib/gateways/forward.go
@@ -171,7 +171,7 @@
 	if request.match.Route.RetryMode == routes.Stream && response.StatusCode == http.StatusOK {
 		return request.relayEvents(conn, response)
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	body, err := request.readAnswerBody(response)
 	if err != nil {
 		return outcomeUnknown{err: err}
 	}
@@ -216,7 +216,8 @@
 // relayEvents passes events to the caller as they arrive.
 func (request *request) relayEvents(conn *connection, response *http.Response) attemptResult {
 	controller := http.NewResponseController(request.writer)
-	reader := &eventReader{body: response.Body}
+	reader := newEventReader(response.Body, &request.buffers)
+	defer reader.free()
 	for {
 		events, id, err := reader.next()
 		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
--- a/lib/gateways/gateway.go
+++ b/lib/gateways/gateway.go
@@ -30,8 +30,6 @@
 	idleTimeout = 2 * time.Minute
 	// maxHeaderBytes bounds the headers of a request.
 	maxHeaderBytes = 64 << 10
-	// maxAnswerBytes bounds an answer that is buffered before it is relayed.
-	maxAnswerBytes = 16 << 20
 	// answerMargin is how long after the deadline the gateway still waits, so that a
 	// server can answer at the deadline itself.
 	answerMargin = 40 * time.Millisecond
@@ -61,6 +59,7 @@
 	Gateway struct {
 		Dependencies
 		pool           *pool
+		bufferBudget   *bufferBudget
 		callerTimeouts *callerTimeouts
 		metrics        gatewayMetrics
 		sampler        *rate.Limiter
@@ -86,7 +85,7 @@
 
 // New returns a gateway that has not started to serve yet.
 func New(dependencies Dependencies) *Gateway {
-	gateway := &Gateway{Dependencies: dependencies, pool: newPool(), callerTimeouts: newCallerTimeouts(), metrics: newGatewayMetrics(dependencies.Scope), sampler: newSampler()}
+	gateway := &Gateway{Dependencies: dependencies, pool: newPool(), callerTimeouts: newCallerTimeouts(), bufferBudget: &bufferBudget{}, metrics: newGatewayMetrics(dependencies.Scope), sampler: newSampler()}
 	gateway.server = &http.Server{
 		Handler:           gateway,
 		ReadHeaderTimeout: headerTimeout,
@@ -139,7 +138,9 @@
 		info:            gateway.Dialect.ParseRequest(received.Header, now),
 		arrivedAt:       now,
 		lastDeliveredAt: now,
+		buffers:         requestBuffers{budget: gateway.bufferBudget},
 	}
+	defer request.buffers.freeAll()
 	request.serve()
 }
 
@@ -184,6 +185,8 @@
 	// lastEventID is the id of the last event that the caller received.
 	streaming   bool
 	lastEventID string
+	// buffers holds the memory of the answers to the request.
+	buffers requestBuffers
 }
 
 func (request *request) serve() {
--- a/lib/gateways/sse.go
+++ b/lib/gateways/sse.go
@@ -9,41 +9,81 @@
 	"io"
 )
 
-// maxEventBytes bounds one event, since a faulty server may never terminate it.
-const maxEventBytes = 1 << 20
+const (
+	// maxEventBytes bounds one event, since a faulty server may never terminate it.
+	maxEventBytes = 1 << 20
+	// maxEventIDBytes bounds the id of an event, which is kept beyond the event and is
+	// sent in a header when the stream is resumed.
+	maxEventIDBytes   = 1 << 10
+	longestTerminator = "\r\n\r\n"
+)
 
 // eventReader splits a stream of server-sent events.
 type eventReader struct {
 	body    io.Reader
+	buffers *requestBuffers
 	pending []byte
-	chunk   [4096]byte
-	readErr error
+	// returned is the length of the events at the start of pending that were returned,
+	// and searched the length in which no further end of an event was found.
+	returned, searched int
+	readErr            error
+}
+
+func newEventReader(body io.Reader, buffers *requestBuffers) *eventReader {
+	return &eventReader{body: body, buffers: buffers}
+}
+
+// free ends the use of the reader and of the events that it has returned.
+func (reader *eventReader) free() {
+	reader.buffers.free(reader.pending)
+	reader.pending = nil
 }
 
 // next returns all complete events that have arrived, with their terminators, and
-// the id of the last of them that has one. It blocks until there is at least one.
+// the id of the last of them that has one. It blocks until there is at least one. The
+// events are valid until the next call.
 // At the end of the stream it returns io.EOF, or io.ErrUnexpectedEOF if the stream
-// ended within an event. For an event that exceeds maxEventBytes it returns
-// io.ErrShortBuffer.
+// ended within an event. For an event that exceeds maxEventBytes or has an id that
+// exceeds maxEventIDBytes it returns a tooLongError.
 func (reader *eventReader) next() (complete []byte, lastID string, err error) {
+	reader.pending = append(reader.pending[:0], reader.pending[reader.returned:]...)
+	reader.returned, reader.searched = 0, len(reader.pending)
 	for {
-		if end := lastTerminator(reader.pending); end > 0 {
+		if end := reader.findEnd(); end > 0 {
+			reader.returned = end
 			complete = reader.pending[:end:end]
-			reader.pending = bytes.Clone(reader.pending[end:])
-			return complete, lastEventID(complete), nil
+			if lastID = lastEventID(complete); len(lastID) > maxEventIDBytes {
+				return nil, "", &tooLongError{part: partID, limit: maxEventIDBytes}
+			}
+			return complete, lastID, nil
 		}
 		if reader.readErr != nil {
 			return nil, "", reader.endError()
 		}
 		if len(reader.pending) > maxEventBytes {
-			return nil, "", io.ErrShortBuffer
+			return nil, "", &tooLongError{part: partEvent, limit: maxEventBytes}
 		}
-		count, err := reader.body.Read(reader.chunk[:])
-		reader.pending = append(reader.pending, reader.chunk[:count]...)
+		if reader.pending, err = reader.buffers.makeRoom(reader.pending, maxEventBytes+1); err != nil {
+			return nil, "", err
+		}
+		count, err := reader.body.Read(reader.pending[len(reader.pending):cap(reader.pending)])
+		reader.pending = reader.pending[:len(reader.pending)+count]
 		reader.readErr = err
 	}
 }
 
+// findEnd returns the position after the last complete event, or zero if there is none.
+// It searches only the bytes that arrived since the last search, since searching all of
+// them again would take long for an event without end.
+func (reader *eventReader) findEnd() int {
+	from := max(0, reader.searched+1-len(longestTerminator))
+	reader.searched = len(reader.pending)
+	if end := lastTerminator(reader.pending[from:]); end > 0 {
+		return from + end
+	}
+	return 0
+}
+
 func (reader *eventReader) endError() error {
 	if reader.readErr == io.EOF && len(reader.pending) > 0 {
 		return io.ErrUnexpectedEOF
@@ -55,7 +95,7 @@
 // text has none. Lines may end with LF or CRLF.
 func lastTerminator(text []byte) int {
 	lf := bytes.LastIndex(text, []byte("\n\n"))
-	crlf := bytes.LastIndex(text, []byte("\r\n\r\n"))
+	crlf := bytes.LastIndex(text, []byte(longestTerminator))
 	switch {
 	case lf < 0 && crlf < 0:
 		return 0
--- a/lib/gateways/sse_test.go
+++ b/lib/gateways/sse_test.go
@@ -6,6 +6,8 @@
 	"strings"
 	"testing"
 	"testing/iotest"
+
+	"github.com/smartystreets/goconvey/convey"
 )
 
 // FuzzEvents guards against bytes that are lost, repeated or returned before their
@@ -15,7 +17,7 @@
 		f.Add(seed)
 	}
 	f.Fuzz(func(t *testing.T, text string) {
-		reader := &eventReader{body: iotest.OneByteReader(strings.NewReader(text))}
+		reader := newEventReader(iotest.OneByteReader(strings.NewReader(text)), &requestBuffers{budget: &bufferBudget{}})
 		var got strings.Builder
 		for {
 			part, _, err := reader.next()
@@ -39,3 +41,45 @@
 		}
 	})
 }
+
+// Guards against a stream whose event or event id is kept although it has no end, and
+// against events of many streams that together take more memory than the budget allows.
+func TestLongEvents(t *testing.T) {
+	next := func(text string, buffers *requestBuffers) error {
+		_, _, err := newEventReader(strings.NewReader(text), buffers).next()
+		return err
+	}
+	convey.Convey("Given an event that exceeds the limit, then it fails", t, func() {
+		err := next("data: "+strings.Repeat("x", maxEventBytes), &requestBuffers{budget: &bufferBudget{}})
+		convey.So(err, convey.ShouldResemble, &tooLongError{part: partEvent, limit: maxEventBytes})
+	})
+	convey.Convey("Given an event with a long id, then it fails", t, func() {
+		err := next("id: "+strings.Repeat("x", maxEventIDBytes+1)+"\n\n", &requestBuffers{budget: &bufferBudget{}})
+		convey.So(err, convey.ShouldResemble, &tooLongError{part: partID, limit: maxEventIDBytes})
+	})
+	convey.Convey("Given many streams with long events", t, func() {
+		budget := &bufferBudget{}
+		long, short := "data: "+strings.Repeat("x", 900<<10), event(1)
+		failed := 0
+		var streams []*requestBuffers
+		for range 50 {
+			streams = append(streams, &requestBuffers{budget: budget})
+			if errors.Is(next(long, streams[len(streams)-1]), errBufferBudget) {
+				failed++
+			}
+		}
+		convey.Convey("Then those beyond the budget fail", func() {
+			convey.So(failed, convey.ShouldBeBetween, 10, 50)
+			convey.So(budget.usedBytes.Load(), convey.ShouldBeLessThanOrEqualTo, maxBufferedBytes)
+		})
+		convey.Convey("Then a stream with short events goes on", func() {
+			convey.So(next(short, &requestBuffers{budget: budget}), convey.ShouldBeNil)
+		})
+		convey.Convey("Then the budget is free again when they have ended", func() {
+			for _, buffers := range streams {
+				buffers.freeAll()
+			}
+			convey.So(budget.usedBytes.Load(), convey.ShouldEqual, 0)
+		})
+	})
+}
