Bound buffered answers by the smallest hosts of entries

Cause: the grown deployments have entries of 184 MB, not 284 MB, and with 300 connections at a time that get both heads of 15 KiB and unfinished bodies the peak was 187 MB. A head of many short headers takes about twenty times its length.

Ruled out: counting parsed heads in the budget of the buffers, since the parser knows their size only afterwards.

Change: maxHeadBytes 8 KiB (was 16), unsharedBytes 32 KiB (was 64), maxBufferedBytes 24 MiB (was 32), which still takes one answer of maxAnswerBytes. TestMemoryOfConcurrentAnswersIsBounded uses 184 MB; TestLargeAnswersAreRelayed uses answers of almost 16 MiB.

--- a/lib/gateways/answer_limits.go
+++ b/lib/gateways/answer_limits.go
@@ -18,14 +18,15 @@
 	maxAnswerBytes = 16 << 20
 	// maxHeadBytes bounds the heads that are read until that of the answer to the request
 	// is complete. A parsed head takes up to twenty times its length in memory.
-	maxHeadBytes = 16 << 10
+	maxHeadBytes = 8 << 10
 	// maxBufferedBytes bounds the buffers of all answers together beyond the first
-	// unsharedBytes of each request. An entry's host has 284 MB for about 300 requests at
-	// the same time, and the garbage collector lets the heap grow to twice what is in use.
-	maxBufferedBytes = 32 << 20
+	// unsharedBytes of each request. The smallest hosts of entries have 184 MB for about
+	// 300 requests at the same time, and the garbage collector lets the heap grow to twice
+	// what is in use. It suffices for one answer of maxAnswerBytes while its buffer grows.
+	maxBufferedBytes = 24 << 20
 	// unsharedBytes is how much each request may always buffer, so that the large answers
 	// of a faulty server don't fail the usual answers, which have a few kilobytes.
-	unsharedBytes = 64 << 10
+	unsharedBytes = 32 << 10
 	// firstBufferBytes is the initial size of the buffer for an answer.
 	firstBufferBytes = 4 << 10
 )
--- a/lib/gateways/answer_limits_test.go
+++ b/lib/gateways/answer_limits_test.go
@@ -22,8 +22,9 @@
 )
 
 const (
-	// entryMemoryBytes is the memory of an entry's host.
-	entryMemoryBytes = 284_000_000
+	// entryMemoryBytes is the memory of the smallest hosts of entries, those of the grown
+	// deployments. The others have 284 MB.
+	entryMemoryBytes = 184_000_000
 	// concurrentAnswers is how many faulty answers arrive at the same time, about as many
 	// as an entry has requests.
 	concurrentAnswers = 300
@@ -154,8 +155,8 @@
 
 // Guards against a bound that fails answers which are large but complete.
 func TestLargeAnswersAreRelayed(t *testing.T) {
-	convey.Convey("Given answers with many headers, after informational ones, and with bodies of 8 MiB", t, func() {
-		text := strings.Repeat("fibre bale ", (8<<20)/11)
+	convey.Convey("Given answers with many headers, after informational ones, and with bodies of almost 16 MiB", t, func() {
+		text := strings.Repeat("fibre bale ", (16<<20)/11)
 		headers := signedHeader
 		for i := range 40 {
 			headers += fmt.Sprintf("Detail-%d: %s\r\n", i, strings.Repeat("d", 150))
@@ -241,9 +242,9 @@
 			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: yes\r\n", id)
 			_, _ = conn.Write(shortHeaders)
 		}},
-		"heads of 15 KiB with many short headers, and bodies that stop after 1 MiB": {"/once/", func(conn net.Conn, id string) {
+		"heads of 7 KiB with many short headers, and bodies that stop after 1 MiB": {"/once/", func(conn net.Conn, id string) {
 			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: yes\r\nContent-Length: 9000000\r\n", id)
-			end := bytes.LastIndexByte(shortHeaders[:15<<10], '\n') + 1
+			end := bytes.LastIndexByte(shortHeaders[:7<<10], '\n') + 1
 			_, _ = conn.Write(append(shortHeaders[:end:end], "\r\n"...))
 			writeFiller(conn, 1<<20)
 		}},
