Bound answers of peers by the memory of an agent's host

Cause: an answer of a peer could have 16 MiB, also that to a probe, which an agent sends to all peers at the same time. No test covered answers without end.

Ruled out: a bound for each call, as for the platform's clients.

Change: short answers (held pieces, offers, pushes) go over a client of their own with a bound of 16 KiB, which suffices for the held set of 98,000 pieces; pieces and manifests may have 2 MiB. An agent that fetches pieces from a peer and also pushes to it now has a connection for each. Heads may have 4 KiB, the library's default until now. The server accepts pushes of up to 2 MiB; it had the library's 4 MiB while pieces could have 16 MiB.

--- a/lib/stagings/peers.go
+++ b/lib/stagings/peers.go
@@ -51,7 +51,14 @@
 	pathPiece          = "/pieces/"
 	pathHeld           = "/held/"
 	pathOffer          = "/offers/"
-	maxPieceBytes      = 16 << 20
+	// maxPieceBytes bounds pieces and manifests. An agent holds all pieces of a version in
+	// the memory of its host, of 152 MB.
+	maxPieceBytes = 2 << 20
+	// maxControlBytes bounds the other answers of peers. An agent may get some hundred of
+	// them at the same time, and the longest, the set of held pieces, has a bit a piece.
+	maxControlBytes = 16 << 10
+	// maxHeadBytes bounds the head of an answer.
+	maxHeadBytes = 4 << 10
 )
 
 // offerAccepted is the answer to the offer of a piece that the peer lacks.
@@ -74,37 +81,43 @@
 		upload *rate.Limiter
 	}
 
-	peerClient struct {
-		http *fasthttp.Client
-	}
+	// peerClient calls peers. Content serves calls for pieces and manifests, control all
+	// others, whose answers are short.
+	peerClient struct{ content, control *fasthttp.Client }
 )
 
 func newPeerClient() *peerClient {
-	return &peerClient{http: &fasthttp.Client{
+	return &peerClient{content: newHTTPClient(maxPieceBytes), control: newHTTPClient(maxControlBytes)}
+}
+
+// newHTTPClient returns a client for which an answer with a longer body is an error.
+func newHTTPClient(maxAnswerBytes int) *fasthttp.Client {
+	return &fasthttp.Client{
 		MaxConnsPerHost:           maxPeerConnections,
 		MaxIdleConnDuration:       peerIdleTimeout,
 		MaxIdemponentCallAttempts: 1,
-		MaxResponseBodySize:       maxPieceBytes,
+		MaxResponseBodySize:       maxAnswerBytes,
+		ReadBufferSize:            maxHeadBytes,
 		Dial: func(address string) (net.Conn, error) {
 			return dialers.New(connectTimeout, peerCallTimeout).Dial("tcp", address)
 		},
-	}}
+	}
 }
 
 func (client *peerClient) get(address, path string) ([]byte, error) {
-	return client.call(http.MethodGet, address, path, nil, peerCallTimeout)
+	return call(client.content, http.MethodGet, address, path, nil, peerCallTimeout)
 }
 
 // push sends a piece to a peer that has not requested it.
 func (client *peerClient) push(address, model string, version, piece int, body []byte) error {
-	_, err := client.call(http.MethodPut, address, piecePath(pathPiece, model, version, piece), body, pushTimeout)
+	_, err := call(client.control, http.MethodPut, address, piecePath(pathPiece, model, version, piece), body, pushTimeout)
 	return err
 }
 
 // offer asks a peer whether it takes a piece. It waits until the peer is ready for one,
 // and returns false if the peer has the piece.
 func (client *peerClient) offer(address, model string, version, piece int) (isWanted bool, err error) {
-	answer, err := client.call(http.MethodGet, address, piecePath(pathOffer, model, version, piece), nil, offerTimeout+connectTimeout)
+	answer, err := call(client.control, http.MethodGet, address, piecePath(pathOffer, model, version, piece), nil, offerTimeout+connectTimeout)
 	return err == nil && string(answer) == offerAccepted, err
 }
 
@@ -112,14 +125,14 @@
 	return prefix + model + "/" + strconv.Itoa(version) + "/" + strconv.Itoa(piece)
 }
 
-func (client *peerClient) call(method, address, path string, body []byte, timeout time.Duration) ([]byte, error) {
+func call(client *fasthttp.Client, method, address, path string, body []byte, timeout time.Duration) ([]byte, error) {
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
 	request.Header.SetMethod(method)
 	request.SetRequestURI("http://" + address + path)
 	request.SetBody(body)
-	if err := client.http.DoTimeout(request, response, timeout); err != nil {
+	if err := client.DoTimeout(request, response, timeout); err != nil {
 		return nil, fmt.Errorf("request to peer %s: %w", address, err)
 	}
 	if response.StatusCode() == http.StatusTooEarly || response.StatusCode() == http.StatusNotFound {
@@ -155,7 +168,7 @@
 // bytes that it sends a second.
 func NewServer(node *Node, upload *rate.Limiter) *Server {
 	server := &Server{node: node, upload: upload}
-	server.http = &fasthttp.Server{Handler: server.handle, Name: "firford"}
+	server.http = &fasthttp.Server{Handler: server.handle, Name: "firford", MaxRequestBodySize: maxPieceBytes}
 	return server
 }
 
--- a/lib/stagings/probe.go
+++ b/lib/stagings/probe.go
@@ -54,7 +54,7 @@
 // know the version yet has none.
 func (client *peerClient) heldPieces(address string, manifest Manifest) (weights.Set, error) {
 	none := weights.NewSet(len(manifest.Digests))
-	body, err := client.call(http.MethodGet, address, pathHeld+manifest.Model+"/"+strconv.Itoa(manifest.Version), nil, probeTimeout)
+	body, err := call(client.control, http.MethodGet, address, pathHeld+manifest.Model+"/"+strconv.Itoa(manifest.Version), nil, probeTimeout)
 	if errors.Is(err, errPending) {
 		return none, nil
 	}
