Fail generations with more tokens than were requested

Cause: a backend server that streams tokens without text and without end was read until the request's deadline; the bound on the length of an answer counts the text only, while each token takes memory in lib/admissions. Answers of backend servers that are too long or do not end had no test.

Ruled out: a bound on the number of parts in lib/admissions, which would accept more tokens than were requested.

Change: a token beyond MaxTokens is an error, after which the request may have run and the connection is closed. A test covers status, commands, calls and generations with endless bodies, chunks and heads, which already were errors.

TestTokensBeyondTheRequestedOnesAreErrors before: "Expected: 4 Actual: 9997", now passes. TestEndlessAnswersAreErrors passed before; without the bound in sendAndReceive it ends with "fatal error: out of memory" (ulimit -v 3000000). Its peak with 16 calls at a time is 42 MB, of 152 MB. `go test -race ./lib/engines ./lib/admissions` passes.

--- a/lib/engines/client.go
+++ b/lib/engines/client.go
@@ -101,7 +101,7 @@
 		return Completion{}, err
 	}
 	reader := bufio.NewReaderSize(exchange.response.BodyStream(), maxLineBytes)
-	completion, err := exchange.readTokens(reader, newDecoder(generation.ResumeFrom), deliver)
+	completion, err := exchange.readTokens(reader, generation, deliver)
 	if err != nil {
 		err = exchange.interruption(err)
 		exchange.finish(false)
@@ -112,7 +112,10 @@
 	return completion, nil
 }
 
-func (exchange *exchange) readTokens(reader *bufio.Reader, state decoder, deliver func(Token)) (Completion, error) {
+// readTokens reads the stream to its final line. More tokens than the generation
+// requests are an error, so that a stream without end fails.
+func (exchange *exchange) readTokens(reader *bufio.Reader, generation Generation, deliver func(Token)) (Completion, error) {
+	state := newDecoder(generation.ResumeFrom)
 	for {
 		line, err := readLine(reader)
 		if err != nil {
@@ -126,6 +129,9 @@
 		}
 		switch decoded := decoded.(type) {
 		case tokenEvent:
+			if decoded.token.Sequence > generation.MaxTokens {
+				return Completion{}, fmt.Errorf("received more than the %d requested tokens", generation.MaxTokens)
+			}
 			deliver(decoded.token)
 		case doneEvent:
 			return decoded.completion, nil
