--- a/lib/gateways/attempts.go
+++ b/lib/gateways/attempts.go
@@ -33,8 +33,11 @@
 		silentAt    time.Time
 		parts       chan answerPart
 		closed      chan struct{}
-		head        *answerHead
-		beganAt     time.Time
+		// handled receives a value once events were passed on to the caller.
+		handled chan struct{}
+		buffers *requestBuffers
+		head    *answerHead
+		beganAt time.Time
 	}
 
 	// answerPart is what an attempt reports: that its connection is open, or a part of the
@@ -54,14 +57,18 @@
 	}
 
 	// answerEvents are complete events of a stream. lastID is the id of the last one that
-	// has an id.
+	// has an id. The text is valid until the attempt's next part is asked for.
 	answerEvents struct {
 		text   []byte
 		lastID string
 	}
 
-	// answerBody is the complete body of an answer that is no stream.
-	answerBody struct{ body []byte }
+	// answerBody is the complete body of an answer that is no stream, with the memory that it
+	// takes.
+	answerBody struct {
+		body    []byte
+		buffers *requestBuffers
+	}
 
 	// answerEnd is the end of a stream, or of an answer that broke off if err is set.
 	answerEnd struct{ err error }
@@ -73,14 +80,17 @@
 func (answerBody) isAnswerPart()   {}
 func (answerEnd) isAnswerPart()    {}
 
-func newAttempt(reservation *placements.Reservation) *attempt {
-	return &attempt{reservation: reservation, parts: make(chan answerPart), closed: make(chan struct{})}
+func (request *request) newAttempt(reservation *placements.Reservation) *attempt {
+	return &attempt{
+		reservation: reservation, parts: make(chan answerPart), closed: make(chan struct{}), handled: make(chan struct{}, 1),
+		buffers: &requestBuffers{budget: request.gateway.bufferBudget},
+	}
 }
 
 // open sends the request to the reserved server and begins to read the answer. Without
 // an attempt it returns how the attempt ended.
 func (request *request) open(ctx context.Context, reservation *placements.Reservation) (*attempt, attemptResult) {
-	attempt := newAttempt(reservation)
+	attempt := request.newAttempt(reservation)
 	conn, err := request.connect(ctx, reservation.Server)
 	if failure := request.begin(ctx, attempt, conn, err); failure != nil {
 		attempt.close()
@@ -92,7 +102,7 @@
 // openInBackground opens the connection in a goroutine, so that the request can go on
 // with the answer of another server meanwhile.
 func (request *request) openInBackground(ctx context.Context, reservation *placements.Reservation) *attempt {
-	attempt := newAttempt(reservation)
+	attempt := request.newAttempt(reservation)
 	go func() {
 		conn, err := request.connect(ctx, reservation.Server)
 		if !attempt.pass(connected{conn: conn, err: err}) && err == nil {
@@ -158,16 +168,19 @@
 		attempt.readEvents(response.Body)
 		return
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	body, err := attempt.buffers.readAnswerBody(response)
 	if err != nil {
 		attempt.pass(answerEnd{err: err})
 		return
 	}
-	attempt.pass(answerBody{body: body})
+	if !attempt.pass(answerBody{body: body, buffers: attempt.buffers}) {
+		attempt.buffers.freeAll()
+	}
 }
 
 func (attempt *attempt) readEvents(body io.Reader) {
-	reader := &eventReader{body: body}
+	reader := newEventReader(body, attempt.buffers)
+	defer reader.free()
 	for {
 		text, lastID, err := reader.next()
 		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
@@ -178,12 +191,23 @@
 			attempt.pass(answerEnd{err: err})
 			return
 		}
-		if !attempt.pass(answerEvents{text: text, lastID: lastID}) {
+		if !attempt.pass(answerEvents{text: text, lastID: lastID}) || !attempt.awaitHandled() {
 			return
 		}
 	}
 }
 
+// awaitHandled waits until the last events were passed on to the caller. It returns false
+// if the attempt was closed.
+func (attempt *attempt) awaitHandled() bool {
+	select {
+	case <-attempt.handled:
+		return true
+	case <-attempt.closed:
+		return false
+	}
+}
+
 // pass passes a part on. It returns false if the attempt was closed.
 func (attempt *attempt) pass(part answerPart) bool {
 	select {
--- a/lib/gateways/forward.go
+++ b/lib/gateways/forward.go
@@ -113,6 +113,7 @@
 	case answerEvents:
 		return request.deliverEvents(attempt, part)
 	case answerBody:
+		request.buffers = append(request.buffers, part.buffers)
 		return request.handleBody(attempt.head.response, part.body)
 	case answerEnd:
 		if part.err != nil {
@@ -195,6 +196,7 @@
 	}
 	request.lastDeliveredAt = time.Now()
 	attempt.silentAt = request.nextSilentAt()
+	attempt.handled <- struct{}{}
 	return nil
 }
 
--- a/lib/gateways/gateway.go
+++ b/lib/gateways/gateway.go
@@ -31,8 +31,6 @@
 	idleTimeout = 2 * time.Minute
 	// maxHeaderBytes bounds the headers of a request.
 	maxHeaderBytes = 64 << 10
-	// maxAnswerBytes bounds an answer that is buffered before it is relayed.
-	maxAnswerBytes = 16 << 20
 	// answerMargin is how long after the deadline the gateway still waits, so that a
 	// server can answer at the deadline itself.
 	answerMargin = 40 * time.Millisecond
@@ -65,6 +63,7 @@
 	Gateway struct {
 		Dependencies
 		pool           *pool
+		bufferBudget   *bufferBudget
 		callerTimeouts *callerTimeouts
 		metrics        gatewayMetrics
 		sampler        *rate.Limiter
@@ -90,7 +89,7 @@
 
 // New returns a gateway that has not started to serve yet.
 func New(dependencies Dependencies) *Gateway {
-	gateway := &Gateway{Dependencies: dependencies, pool: newPool(), callerTimeouts: newCallerTimeouts(), metrics: newGatewayMetrics(dependencies.Scope), sampler: newSampler()}
+	gateway := &Gateway{Dependencies: dependencies, pool: newPool(), callerTimeouts: newCallerTimeouts(), bufferBudget: &bufferBudget{}, metrics: newGatewayMetrics(dependencies.Scope), sampler: newSampler()}
 	gateway.server = &http.Server{
 		Handler:           gateway,
 		ReadHeaderTimeout: headerTimeout,
@@ -144,6 +143,7 @@
 		arrivedAt:       now,
 		lastDeliveredAt: now,
 	}
+	defer request.freeBuffers()
 	request.serve()
 }
 
@@ -193,6 +193,8 @@
 	// lastEventID is the id of the last event that the caller received.
 	streaming   bool
 	lastEventID string
+	// buffers holds the memory of the bodies that were passed on to the request.
+	buffers []*requestBuffers
 }
 
 func (request *request) serve() {
