Count an answer for a part of a prompt only once its server has survived it

Cause: a bad request that was resumed at a second server was complete 65 ms after it began there, 28 ms before that server crashed. The answer cleared the bad part of all crashes before, and then both parts were cut off as often as each other. The lines "answer lost" with their prompt_parts showed it.

An answer now counts a second after it began, unless its server has crashed meanwhile, and of parts that are in the same crashes only those with the fewest answers are blamed.

--- a/lib/gateways/crashes.go
+++ b/lib/gateways/crashes.go
@@ -15,10 +15,6 @@
 	"firford/lib/quarantines"
 )
 
-// crashTime is how long after an answer began its request may be what crashed the server.
-// A part that crashes servers does so before that.
-const crashTime = time.Second
-
 // checkQuarantine returns whether the request may be sent to a server. A request that was
 // let through as a probe stays one.
 func (request *request) checkQuarantine() quarantines.Verdict {
@@ -36,14 +32,14 @@
 	if len(parts) == 0 {
 		return
 	}
-	now := time.Now()
+	now, server := time.Now(), attempt.reservation.Server
 	_, isDelivered := outcome.(delivered)
-	if hasBegun := !attempt.beganAt.IsZero(); hasBegun && (isDelivered || now.Sub(attempt.beganAt) >= crashTime) {
-		request.gateway.LogQuarantines(request.gateway.Quarantines.RecordAnswer(parts, attempt.beganAt, now))
+	if hasBegun := !attempt.beganAt.IsZero(); hasBegun && (isDelivered || now.Sub(attempt.beganAt) >= quarantines.CrashTime) {
+		request.gateway.LogQuarantines(request.gateway.Quarantines.RecordAnswer(server.ID, parts, attempt.beganAt, now))
 		return
 	}
 	if lost, isLost := outcome.(outcomeUnknown); isLost && isBrokenOff(lost.err) {
-		request.gateway.recordCrash(attempt.reservation.Server, parts, now)
+		request.gateway.recordCrash(server, parts, now)
 	}
 }
 
--- a/lib/quarantines/assess.go
+++ b/lib/quarantines/assess.go
@@ -36,16 +36,15 @@
 	return last.Add(probeInterval << min(probes, maxProbeDoublings))
 }
 
-// assess returns what speaks against each part, given when an answer with a part last
-// began. The part with the most crashes is blamed for all of them, then the one with the
-// most of the rest, and so on: requests that were cut off with the bad ones are not
-// held against their own parts. Among equals, a part with which no answer ever began
-// is blamed before others.
-func assess(crashes []Crash, answeredAt func(part string) time.Time) map[string]blame {
+// assess returns what speaks against each part, given which parts are sound. The part with
+// the most crashes is blamed for all of them, then the one with the most of the rest, and
+// so on: requests that were cut off with the bad ones are not held against their own
+// parts. Among equals, the part with the fewest answers is blamed.
+func assess(crashes []Crash, known func(part string) soundness) map[string]blame {
 	blamed := map[string]blame{}
 	for remaining := crashes; ; {
-		suspects := suspectedParts(remaining, answeredAt)
-		worst := worstParts(suspects, answeredAt)
+		suspects := suspectedParts(remaining, known)
+		worst := worstParts(suspects, known)
 		if len(worst) == 0 {
 			return blamed
 		}
@@ -59,11 +58,11 @@
 }
 
 // suspectedParts returns when servers crashed under each part since it was last sound.
-func suspectedParts(crashes []Crash, answeredAt func(part string) time.Time) map[string]blame {
+func suspectedParts(crashes []Crash, known func(part string) soundness) map[string]blame {
 	suspects := map[string]blame{}
 	for _, crash := range crashes {
 		for _, part := range crash.Parts {
-			if crash.At.Before(answeredAt(part).Add(soundTime)) {
+			if crash.At.Before(known(part).lastBeganAt.Add(soundTime)) {
 				continue
 			}
 			moments := suspects[part].moments
@@ -76,24 +75,27 @@
 	return suspects
 }
 
-// worstParts returns the parts with the most crashes, if those are enough to count.
-func worstParts(suspects map[string]blame, answeredAt func(part string) time.Time) []string {
+// worstParts returns the parts with the most crashes, if those are enough to count, and
+// among these the ones with the fewest answers.
+func worstParts(suspects map[string]blame, known func(part string) soundness) []string {
 	most := minRepeatCrashes
 	for _, suspect := range suspects {
 		most = max(most, len(suspect.moments))
 	}
-	var worst, neverSound []string
+	var worst []string
+	fewest := 0
 	for part, suspect := range suspects {
 		if len(suspect.moments) < most {
 			continue
 		}
-		worst = append(worst, part)
-		if answeredAt(part).IsZero() {
-			neverSound = append(neverSound, part)
+		answers := known(part).answers
+		if len(worst) > 0 && answers > fewest {
+			continue
 		}
-	}
-	if len(neverSound) > 0 {
-		return neverSound
+		if len(worst) > 0 && answers < fewest {
+			worst = nil
+		}
+		worst, fewest = append(worst, part), answers
 	}
 	return worst
 }
--- a/lib/quarantines/quarantines.go
+++ b/lib/quarantines/quarantines.go
@@ -24,6 +24,9 @@
 )
 
 const (
+	// CrashTime is how long after an answer began its request may be what crashes the
+	// server. An answer may be complete before that.
+	CrashTime = time.Second
 	// soundTime is how long after an answer began with a part the part is not blamed for
 	// crashes. Nearly all prompts share some part, and each crash cuts off requests with it.
 	soundTime = 2 * time.Second
@@ -41,8 +44,10 @@
 	maxProbeSpread = 20 * time.Second
 	// assumedEntries is the number of entries that is assumed until an agent tells it.
 	assumedEntries = 16
-	// maxSoundParts bounds the parts that are remembered as sound.
+	// maxSoundParts bounds the parts that are remembered as sound, and maxUnproven the
+	// answers whose servers may still crash.
 	maxSoundParts = 8192
+	maxUnproven   = 1024
 )
 
 type (
@@ -67,15 +72,31 @@
 		mutex sync.Mutex
 		// own are the crashes that this entry recorded, and all those of all entries.
 		own, all Records
-		// recent and former hold when an answer with a part last began. Once half of
-		// maxSoundParts are recent, they become the former ones.
-		recent, former map[string]time.Time
+		// unproven are answers that began less than CrashTime ago, in the order in which they
+		// were recorded.
+		unproven []unprovenAnswer
+		// recent and former hold the parts that are sound. Once half of maxSoundParts are
+		// recent, they become the former ones.
+		recent, former map[string]soundness
 		blamed         map[string]blame
 		// probes holds until when this entry awaits the outcome of a probe.
 		probes map[string]time.Time
 		// position is the place of this entry among count entries.
 		position, count int
 	}
+
+	// soundness is when the last answer with a part began that its server survived, and how
+	// many such answers there were. It is zero if there was none.
+	soundness struct {
+		lastBeganAt time.Time
+		answers     int
+	}
+
+	unprovenAnswer struct {
+		server  string
+		beganAt time.Time
+		parts   []string
+	}
 )
 
 // IsRefused reports whether the request may not be sent to a server.
@@ -84,7 +105,7 @@
 // New returns an empty ledger.
 func New() *Ledger {
 	return &Ledger{
-		recent: map[string]time.Time{}, former: map[string]time.Time{},
+		recent: map[string]soundness{}, former: map[string]soundness{},
 		blamed: map[string]blame{}, probes: map[string]time.Time{},
 		position: assumedEntries - 1, count: assumedEntries,
 	}
@@ -100,49 +121,73 @@
 	ledger.position, ledger.count = position, count
 }
 
-// RecordAnswer records that a server began to answer a request with the parts and did
-// not crash under it. It returns the parts whose quarantine has ended.
-func (ledger *Ledger) RecordAnswer(parts []string, beganAt, now time.Time) []Change {
+// RecordAnswer records that the server began to answer a request with the parts. It
+// counts once the server has survived that for CrashTime. It returns the parts whose
+// quarantine has ended.
+func (ledger *Ledger) RecordAnswer(server string, parts []string, beganAt, now time.Time) []Change {
 	if len(parts) == 0 {
 		return nil
 	}
 	ledger.mutex.Lock()
 	defer ledger.mutex.Unlock()
+	ledger.unproven = append(ledger.unproven, unprovenAnswer{server: server, beganAt: beganAt, parts: parts})
+	return ledger.proveAnswers(now)
+}
+
+// proveAnswers counts the answers that their servers have survived. The caller holds the
+// mutex.
+func (ledger *Ledger) proveAnswers(now time.Time) []Change {
 	isBlamed := false
-	for _, part := range parts {
-		isBlamed = ledger.recordSound(part, beganAt) || isBlamed
-	}
+	ledger.unproven = slices.DeleteFunc(ledger.unproven, func(answer unprovenAnswer) bool {
+		if now.Sub(answer.beganAt) < CrashTime {
+			return false
+		}
+		for _, part := range answer.parts {
+			isBlamed = ledger.recordSound(part, answer.beganAt) || isBlamed
+		}
+		return true
+	})
+	ledger.unproven = ledger.unproven[max(0, len(ledger.unproven)-maxUnproven):]
 	if !isBlamed {
 		return nil
 	}
 	return ledger.reassess(now)
 }
 
+// dropUnproven drops the answers of a server that has crashed. The caller holds the mutex.
+func (ledger *Ledger) dropUnproven(crash Crash) {
+	ledger.unproven = slices.DeleteFunc(ledger.unproven, func(answer unprovenAnswer) bool {
+		return answer.server == crash.Server && crash.At.Sub(answer.beganAt) < CrashTime
+	})
+}
+
 // recordSound records that an answer with the part began, and reports whether the part
 // was blamed for crashes. The caller holds the mutex.
 func (ledger *Ledger) recordSound(part string, beganAt time.Time) (wasBlamed bool) {
-	if !beganAt.After(ledger.answeredAt(part)) {
+	known := ledger.soundness(part)
+	if !beganAt.After(known.lastBeganAt) {
 		return false
 	}
 	ledger.makeRoom()
-	ledger.recent[part] = beganAt
+	ledger.recent[part] = soundness{lastBeganAt: beganAt, answers: known.answers + 1}
 	_, wasBlamed = ledger.blamed[part]
 	return wasBlamed
 }
 
-// makeRoom makes room for one more part that is sound.
+// makeRoom makes room for one more part that is sound. The caller holds the mutex.
 func (ledger *Ledger) makeRoom() {
 	if len(ledger.recent) < maxSoundParts/2 {
 		return
 	}
 	ledger.former = ledger.recent
-	ledger.recent = map[string]time.Time{}
+	ledger.recent = map[string]soundness{}
 }
 
-// answeredAt returns when an answer with the part last began, zero if never.
-func (ledger *Ledger) answeredAt(part string) time.Time {
-	if at, isRecent := ledger.recent[part]; isRecent {
-		return at
+// soundness returns what is known of the answers with the part. The caller holds the
+// mutex.
+func (ledger *Ledger) soundness(part string) soundness {
+	if known, isRecent := ledger.recent[part]; isRecent {
+		return known
 	}
 	return ledger.former[part]
 }
@@ -152,12 +197,14 @@
 func (ledger *Ledger) RecordOwn(crash Crash, now time.Time) (isNew bool, changes []Change) {
 	ledger.mutex.Lock()
 	defer ledger.mutex.Unlock()
+	changes = ledger.proveAnswers(now)
 	crash.Parts = slices.DeleteFunc(slices.Clone(crash.Parts), func(part string) bool { return ledger.isSoundAt(part, crash.At) })
 	if len(crash.Parts) == 0 {
-		return false, nil
+		ledger.dropUnproven(crash)
+		return false, changes
 	}
 	ledger.own, isNew = ledger.own.withoutOld(now).With(crash, now)
-	return isNew, ledger.add([]Crash{crash}, now)
+	return isNew, append(changes, ledger.add([]Crash{crash}, now)...)
 }
 
 // Merge records what other entries have recorded, and returns what has changed.
@@ -167,11 +214,12 @@
 	}
 	ledger.mutex.Lock()
 	defer ledger.mutex.Unlock()
+	changes := ledger.proveAnswers(now)
 	isSound := false
 	for _, answer := range records.answers {
 		isSound = ledger.recordSound(answer.Part, answer.BeganAt) || isSound
 	}
-	changes := ledger.add(records.crashes, now)
+	changes = append(changes, ledger.add(records.crashes, now)...)
 	if isSound {
 		changes = append(changes, ledger.reassess(now)...)
 	}
@@ -186,7 +234,7 @@
 	own := ledger.own
 	for _, crash := range ledger.all.crashes {
 		for _, part := range crash.Parts {
-			if beganAt := ledger.answeredAt(part); now.Sub(beganAt) < sharedTime {
+			if beganAt := ledger.soundness(part).lastBeganAt; now.Sub(beganAt) < sharedTime {
 				own, _ = own.WithAnswer(Answer{Part: part, BeganAt: beganAt}, now)
 			}
 		}
@@ -198,6 +246,7 @@
 func (ledger *Ledger) add(crashes []Crash, now time.Time) []Change {
 	isChanged := false
 	for _, crash := range crashes {
+		ledger.dropUnproven(crash)
 		next, isNew := ledger.all.With(crash, now)
 		ledger.all = next
 		isChanged = isChanged || isNew
@@ -210,7 +259,7 @@
 
 // isSoundAt reports whether the part can't be blamed for a crash at the time.
 func (ledger *Ledger) isSoundAt(part string, at time.Time) bool {
-	return at.Before(ledger.answeredAt(part).Add(soundTime))
+	return at.Before(ledger.soundness(part).lastBeganAt.Add(soundTime))
 }
 
 // reassess finds the parts that explain the crashes, and returns what has changed. The
@@ -218,7 +267,7 @@
 func (ledger *Ledger) reassess(now time.Time) []Change {
 	ledger.all = ledger.all.withoutOld(now)
 	before := ledger.blamed
-	ledger.blamed = assess(ledger.all.crashes, ledger.answeredAt)
+	ledger.blamed = assess(ledger.all.crashes, ledger.knownSoundness())
 	var changes []Change
 	for _, part := range slices.Sorted(maps.Keys(ledger.blamed)) {
 		next := ledger.blamed[part]
@@ -235,6 +284,22 @@
 	return changes
 }
 
+// knownSoundness returns a function that counts unproven answers as well, which decide
+// between parts that are equally suspect. The caller holds the mutex.
+func (ledger *Ledger) knownSoundness() func(part string) soundness {
+	unproven := map[string]int{}
+	for _, answer := range ledger.unproven {
+		for _, part := range answer.parts {
+			unproven[part]++
+		}
+	}
+	return func(part string) soundness {
+		known := ledger.soundness(part)
+		known.answers += unproven[part]
+		return known
+	}
+}
+
 // Check returns the verdict on a request with the parts that is about to be sent.
 func (ledger *Ledger) Check(parts []string, now time.Time) Verdict {
 	ledger.mutex.Lock()
