--- a/lib/gateways/dialect.go
+++ b/lib/gateways/dialect.go
@@ -45,7 +45,10 @@
 	// means that another server now has the address. IdleUntil is when the server
 	// closes the connection if it stays idle, zero if the server did not state it.
 	// LimitPerS is how many requests a second the server takes from all entries together,
-	// zero if it states no limit.
+	// zero if it states no limit. Leaving means that the server shuts down and takes no new
+	// requests. NotBefore is until when a server that turned the request away wants no
+	// requests from this entry, zero if it did not state that. Unreadable is set if Leaving
+	// or NotBefore could not be read, so that they count as not stated.
 	ResponseInfo struct {
 		ID          string
 		NotRun      bool
@@ -53,6 +56,9 @@
 		Misdirected bool
 		IdleUntil   time.Time
 		LimitPerS   float64
+		Leaving     bool
+		NotBefore   time.Time
+		Unreadable  bool
 	}
 
 	// Dialect parses and writes the headers of a platform. Its methods are called
