Explain requests that servers turned away or that were withdrawn by what the servers had stated

It now names the statement of the server and to whom it was made, for a refusal, for a request that was not sent and for a lost answer, and lists leaving and deferred servers in a refusal.

--- a/lib/timelines/causes.go
+++ b/lib/timelines/causes.go
@@ -25,6 +25,9 @@
 	eventEngineStarted  = "engine started"
 	eventServerGone     = "server gone"
 	eventServerDraining = "server draining"
+	eventLeaving        = "server leaving"
+	eventNotBefore      = "server not before"
+	eventNotSent        = "request not sent"
 	eventProcessStarted = "started"
 
 	// orderWindow is how long before a lost answer an order can be its cause. It
@@ -34,6 +37,9 @@
 	// engineLossWindow is how long before a lost answer the loss or start of its
 	// engine can be its cause.
 	engineLossWindow = 500 * time.Millisecond
+	// statementWindow is how long before a request was turned away or withdrawn its server
+	// can have stated why. It covers the time to open a connection.
+	statementWindow = time.Second
 	// refusalWindow is how long before a refusal an order can be the reason that its
 	// engine was not available. It is the time that an engine takes to load a
 	// version.
@@ -83,7 +89,9 @@
 		case eventNotReached:
 			causes = append(causes, fmt.Sprintf("%s was not reached (%s): the request did not run there", server, line.Fields["error"]))
 		case eventTurnedAway:
-			causes = append(causes, explainRefusal(line))
+			causes = append(causes, explainRefusal(line, others))
+		case eventNotSent:
+			causes = append(causes, fmt.Sprintf("nothing was sent to %s: %s", server, explainStatement(line, others)))
 		case eventAnswerLost:
 			causes = append(causes, fmt.Sprintf("the answer of %s was lost: %s", server, explainLostAnswer(line, others)))
 		case eventServerError:
@@ -93,11 +101,25 @@
 	return causes
 }
 
-func explainRefusal(line Line) string {
+func explainRefusal(line Line, others []Line) string {
 	if line.Fields["misdirected"] == "true" {
 		return fmt.Sprintf("%s is not at %s any more: another server has the address, the request did not run", line.Fields["server"], line.Fields["address"])
 	}
-	return fmt.Sprintf("%s stated that it did not run the request: it was full or leaving", line.Fields["server"])
+	return fmt.Sprintf("%s stated that it did not run the request: %s", line.Fields["server"], explainStatement(line, others))
+}
+
+// explainStatement returns why a server wants no requests, by what it stated to the
+// request's entry.
+func explainStatement(line Line, others []Line) string {
+	stated, found := latestServerEvent(others, line.Fields["server"], line, statementWindow, eventLeaving, eventNotBefore)
+	switch {
+	case !found:
+		return "it was full or leaving"
+	case stated.Event == eventLeaving:
+		return fmt.Sprintf("it leaves, as it had stated to %s", stated.Fields["heard_by"])
+	default:
+		return fmt.Sprintf("it wanted no requests for %s, as it had stated to %s", roundToMS(seconds(stated, "for")), stated.Fields["heard_by"])
+	}
 }
 
 // explainLostAnswer explains a lost answer by an event of the engine shortly before,
@@ -109,6 +131,9 @@
 	if lost, found := latestEngineEvent(others, line, engineLossWindow, eventEngineLost, eventEngineStarted); found {
 		return fmt.Sprintf("the engine ended or restarted (%s: %s)", lost.Process, lost.Event)
 	}
+	if stated, found := latestServerEvent(others, line.Fields["server"], line, refusalWindow, eventLeaving); found {
+		return fmt.Sprintf("the server had stated %s before that it leaves", roundToMS(line.Time.Sub(stated.Time)))
+	}
 	if gone, found := latestServerEvent(others, line.Fields["server"], line, refusalWindow, eventServerGone, eventServerDraining); found {
 		return fmt.Sprintf("the platform listed the server as leaving or gone %s before", roundToMS(line.Time.Sub(gone.Time)))
 	}
@@ -220,7 +245,9 @@
 		{"full", "full"},
 		{"limited", "at the limit that they stated"},
 		{"slow", "with too much to read before it"},
-		{"closed", "closed, leaving or changing version"},
+		{"closed", "closed or changing version"},
+		{"leaving", "leaving"},
+		{"deferred", "that had asked for no requests for a time"},
 		{"outdated", "on a version that is due"},
 		{"tried", "already tried"},
 		{"usable", "free again"},
