Refuse waiting requests once all servers of their service want none

A request that was queued before the last server asked for no requests waited until its latest start and was refused only then, although nothing could place it. Each statement now refuses the waiting requests that can't wait until the earliest end; the others go on waiting. A wait ends with a reservation or a refusal.

--- a/lib/gateways/admission_queue.go
+++ b/lib/gateways/admission_queue.go
@@ -21,7 +21,7 @@
 	AdmissionQueue struct {
 		mutex      sync.Mutex
 		dispatcher *placements.Dispatcher
-		grants     map[uint64]chan *placements.Reservation
+		waits      map[uint64]chan waitEnd
 		notify     func(Notice)
 	}
 
@@ -47,6 +47,12 @@
 		Statement placements.LimitStatement
 	}
 
+	// waitEnd ends the wait of a request, with a reservation or a refusal.
+	waitEnd struct {
+		reservation *placements.Reservation
+		refusal     *refusal
+	}
+
 	// refusal states why a request got no reservation and after which time the caller
 	// should retry.
 	refusal struct {
@@ -71,7 +77,7 @@
 	return &AdmissionQueue{
 		notify:     notify,
 		dispatcher: placements.NewDispatcher(fleet, rand.Float64),
-		grants:     map[uint64]chan *placements.Reservation{},
+		waits:      map[uint64]chan waitEnd{},
 	}
 }
 
@@ -97,19 +103,19 @@
 // for one until waiter.StartBy if necessary. The error is a *refusal unless the
 // context ended first. Each reservation has to be ended with release.
 func (queue *AdmissionQueue) acquire(ctx context.Context, waiter placements.Waiter) (*placements.Reservation, error) {
-	reservation, grant, number, err := queue.admit(waiter)
+	reservation, wait, number, err := queue.admit(waiter)
 	if err != nil || reservation != nil {
 		return reservation, err
 	}
 	timer := time.NewTimer(time.Until(waiter.StartBy))
 	defer timer.Stop()
 	select {
-	case reservation := <-grant:
-		return reservation, nil
+	case end := <-wait:
+		return end.result()
 	case <-timer.C:
-		return queue.cancelWait(waiter, number, grant)
+		return queue.cancelWait(waiter, number, wait)
 	case <-ctx.Done():
-		if reservation, _ := queue.cancelWait(waiter, number, grant); reservation != nil {
+		if reservation, _ := queue.cancelWait(waiter, number, wait); reservation != nil {
 			queue.release(reservation, placements.Abandoned)
 		}
 		return nil, context.Cause(ctx)
@@ -117,9 +123,9 @@
 }
 
 // admit places the request at once, refuses it or queues it. For a queued request
-// it returns the channel that receives the reservation, and the number of the
+// it returns the channel that receives the end of its wait, and the number of the
 // request in the queue.
-func (queue *AdmissionQueue) admit(waiter placements.Waiter) (*placements.Reservation, chan *placements.Reservation, uint64, error) {
+func (queue *AdmissionQueue) admit(waiter placements.Waiter) (*placements.Reservation, chan waitEnd, uint64, error) {
 	queue.mutex.Lock()
 	defer queue.mutex.Unlock()
 	switch decision := queue.dispatcher.Admit(waiter, time.Now()).(type) {
@@ -127,9 +133,9 @@
 		queue.notifySent(decision.Reservation)
 		return decision.Reservation, nil, 0, nil
 	case placements.Queued:
-		grant := make(chan *placements.Reservation, 1)
-		queue.grants[decision.Number] = grant
-		return nil, grant, decision.Number, nil
+		wait := make(chan waitEnd, 1)
+		queue.waits[decision.Number] = wait
+		return nil, wait, decision.Number, nil
 	case placements.Refused:
 		return nil, nil, 0, &refusal{Refused: decision, reason: reasonQueueTooLong}
 	default:
@@ -137,15 +143,23 @@
 	}
 }
 
-// cancelWait removes a request from the queue and refuses it. If the request was
-// granted a reservation in the meantime, cancelWait returns that instead.
-func (queue *AdmissionQueue) cancelWait(waiter placements.Waiter, number uint64, grant chan *placements.Reservation) (*placements.Reservation, error) {
+// result returns the end of a wait as acquire does.
+func (end waitEnd) result() (*placements.Reservation, error) {
+	if end.refusal != nil {
+		return nil, end.refusal
+	}
+	return end.reservation, nil
+}
+
+// cancelWait removes a request from the queue and refuses it. If its wait ended in the
+// meantime, cancelWait returns that end instead.
+func (queue *AdmissionQueue) cancelWait(waiter placements.Waiter, number uint64, wait chan waitEnd) (*placements.Reservation, error) {
 	queue.mutex.Lock()
 	defer queue.mutex.Unlock()
-	delete(queue.grants, number)
+	delete(queue.waits, number)
 	select {
-	case reservation := <-grant:
-		return reservation, nil
+	case end := <-wait:
+		return end.result()
 	default:
 		return nil, &refusal{Refused: queue.dispatcher.Refuse(waiter, number, time.Now()), reason: reasonNoPlaceInTime}
 	}
@@ -156,11 +170,24 @@
 func (queue *AdmissionQueue) deliverGrants(grants []placements.Grant) {
 	for _, grant := range grants {
 		queue.notifySent(grant.Reservation)
-		queue.grants[grant.Number] <- grant.Reservation
-		delete(queue.grants, grant.Number)
+		queue.endWait(grant.Number, waitEnd{reservation: grant.Reservation})
 	}
 }
 
+// refuseDeferred refuses the waiting requests that no server of the service takes in
+// time, because all asked for no requests. The caller holds the mutex.
+func (queue *AdmissionQueue) refuseDeferred(service string, now time.Time) {
+	for _, each := range queue.dispatcher.RefuseDeferred(service, now) {
+		queue.endWait(each.Number, waitEnd{refusal: &refusal{Refused: each.Refused, reason: reasonNoPlaceInTime}})
+	}
+}
+
+// endWait passes the end of its wait to a request. The caller holds the mutex.
+func (queue *AdmissionQueue) endWait(number uint64, end waitEnd) {
+	queue.waits[number] <- end
+	delete(queue.waits, number)
+}
+
 // notifySent informs the server's agent of a request whose prompt the server has
 // to read.
 func (queue *AdmissionQueue) notifySent(reservation *placements.Reservation) {
--- a/lib/gateways/statements.go
+++ b/lib/gateways/statements.go
@@ -69,7 +69,9 @@
 func (queue *AdmissionQueue) recordLeaving(reservation *placements.Reservation) bool {
 	queue.mutex.Lock()
 	defer queue.mutex.Unlock()
-	statement, isNew := queue.dispatcher.RecordLeaving(reservation, time.Now())
+	now := time.Now()
+	statement, isNew := queue.dispatcher.RecordLeaving(reservation, now)
+	queue.refuseDeferred(reservation.Server.Service, now)
 	if isNew {
 		queue.notify(LeavingStated{Server: reservation.Server, Statement: statement})
 	}
@@ -81,7 +83,10 @@
 func (queue *AdmissionQueue) recordDeferral(reservation *placements.Reservation, until time.Time) bool {
 	queue.mutex.Lock()
 	defer queue.mutex.Unlock()
-	return queue.dispatcher.RecordDeferral(reservation, until, time.Now())
+	now := time.Now()
+	isChanged := queue.dispatcher.RecordDeferral(reservation, until, now)
+	queue.refuseDeferred(reservation.Server.Service, now)
+	return isChanged
 }
 
 // mayStillSend reports whether the request may be sent to the server for which the
--- a/lib/gateways/statements_test.go
+++ b/lib/gateways/statements_test.go
@@ -1,6 +1,7 @@
 package gateways
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -135,6 +136,28 @@
 	})
 }
 
+// Guards against requests that wait in vain until the last moment, after the last server
+// that could take them has asked for none.
+func TestWaitingRequestsAreRefusedOnceAllServersAreDeferred(t *testing.T) {
+	convey.Convey("Given a request that waits for the only slot of a server", t, func() {
+		const statesAfter, patience = 100 * time.Millisecond, 5 * time.Second
+		fixture := newGatewayFixture(t, 1, newScriptedServer(t, hang))
+		waiter := func() placements.Waiter {
+			return placements.Waiter{StartBy: time.Now().Add(patience), Requirements: placements.Requirements{Service: "desk"}}
+		}
+		running, err := fixture.queue.acquire(t.Context(), waiter())
+		convey.So(err, convey.ShouldBeNil)
+		time.AfterFunc(statesAfter, func() { fixture.queue.recordDeferral(running, time.Now().Add(time.Minute)) })
+		began := time.Now()
+		_, err = fixture.queue.acquire(t.Context(), waiter())
+		var refused *refusal
+		convey.So(errors.As(err, &refused), convey.ShouldBeTrue)
+		convey.So(refused.RetryAfter, convey.ShouldBeGreaterThan, patience)
+		convey.So(refused.Candidates.Deferred, convey.ShouldEqual, 1)
+		convey.So(time.Since(began), convey.ShouldBeLessThan, patience/2)
+	})
+}
+
 // Guards against a request that is sent to a server which has stated that it wants none
 // since the server was chosen: while the request got its reservation, or while its
 // connection was opened.
--- a/lib/placements/availability_test.go
+++ b/lib/placements/availability_test.go
@@ -186,5 +186,16 @@
 			convey.So(grants, convey.ShouldHaveLength, 1)
 			convey.So(grants[0].Reservation.Server.ID, convey.ShouldEqual, "b")
 		})
+		convey.Convey("Then only requests that may wait that long go on waiting when the earliest asks for more time", func() {
+			admit(7500*time.Millisecond, 9*time.Second)
+			convey.So(admit(7500*time.Millisecond, time.Hour), convey.ShouldResemble, Queued{Number: 2})
+			convey.So(dispatcher.RefuseDeferred("pool", at(7600*time.Millisecond)), convey.ShouldBeEmpty)
+			fleet.RecordDeferral("b", at(12*time.Second), at(7600*time.Millisecond))
+			refusals := dispatcher.RefuseDeferred("pool", at(7600*time.Millisecond))
+			convey.So(refusals, convey.ShouldHaveLength, 1)
+			convey.So(refusals[0].Number, convey.ShouldEqual, 1)
+			convey.So(refusals[0].Refused.RetryAfter, convey.ShouldEqual, 2400*time.Millisecond)
+			convey.So(dispatcher.ServiceStatus("pool", at(7600*time.Millisecond)).Waiting, convey.ShouldEqual, 1)
+		})
 	})
 }
--- a/lib/placements/dispatcher.go
+++ b/lib/placements/dispatcher.go
@@ -80,6 +80,12 @@
 		Reservation *Reservation
 	}
 
+	// Refusal is the refusal of a waiter.
+	Refusal struct {
+		Number  uint64
+		Refused Refused
+	}
+
 	// ServiceStatus describes a service from the point of view of a plain request.
 	ServiceStatus struct {
 		Candidates  CandidateCounts
@@ -153,6 +159,23 @@
 	return dispatcher.newRefusal(waiter.Requirements, waiting, dispatcher.expectedWait(waiter.Requirements, waiting, now), now)
 }
 
+// RefuseDeferred removes from the queue the requests that can't be placed by their
+// StartBy, because all servers of the service asked for no requests until later, and
+// returns their refusals.
+func (dispatcher *Dispatcher) RefuseDeferred(service string, now time.Time) []Refusal {
+	until, isDeferred := dispatcher.fleet.deferredUntil(service, now)
+	if !isDeferred {
+		return nil
+	}
+	var refusals []Refusal
+	for _, waiter := range dispatcher.queues[service].Waiters() {
+		if waiter.StartBy.Before(until) {
+			refusals = append(refusals, Refusal{Number: waiter.Number, Refused: dispatcher.Refuse(waiter, waiter.Number, now)})
+		}
+	}
+	return refusals
+}
+
 // newRefusal estimates when there should be capacity: after the present wait, or
 // when an overload of a few seconds has passed. The times are spread, so that
 // callers that were refused together do not retry together.
