Log why and how long before a chosen server had withdrawn

The line of a request that is not sent named only the server; why had to be found in another line. It now has the cause and when that was heard, which Permission carries. TestChosenRequestsAreWithdrawn checks the cause. With the check before sending taken out, it, TestReservationsAreCheckedAgain and TestAvailabilityMachine fail.

--- a/lib/gateways/forward.go
+++ b/lib/gateways/forward.go
@@ -51,8 +51,8 @@
 	if request.callerGaveUp(sentAt) {
 		return notSent{err: errAbandoned}
 	}
-	if !gateway.Queue.mayStillSend(reservation) {
-		return withdrawn{}
+	if outcome, isWithdrawn := request.withdrawal(reservation); isWithdrawn {
+		return outcome
 	}
 	if err := conn.send(request.encode(server, sentAt)); err != nil {
 		return request.classifyError(ctx, err)
--- a/lib/gateways/retries.go
+++ b/lib/gateways/retries.go
@@ -36,9 +36,12 @@
 	delivered struct{}
 	// notSent means that no byte was sent to the server.
 	notSent struct{ err error }
-	// withdrawn means that nothing was sent, because the server stated meanwhile that it
+	// withdrawn means that nothing was sent, because the server stated at heardAt that it
 	// wants no requests.
-	withdrawn struct{}
+	withdrawn struct {
+		cause   string
+		heardAt time.Time
+	}
 	// notRun means that the server stated that it did not run the request.
 	notRun struct{ misdirected bool }
 	// outcomeUnknown means that the request may have run and its answer was lost or
@@ -107,7 +110,7 @@
 				return
 			}
 		case withdrawn:
-			request.log(eventWithdrawn, zap.String("server", server.ID), zap.String("address", server.Address))
+			request.log(eventWithdrawn, zap.String("server", server.ID), zap.String("address", server.Address), zap.String("cause", outcome.cause), zap.Duration("heard_before", time.Since(outcome.heardAt)))
 		case notRun:
 			request.log(eventTurnedAway, zap.String("server", server.ID), zap.String("address", server.Address), zap.Bool("misdirected", outcome.misdirected))
 			if outcome.misdirected {
--- a/lib/gateways/statements.go
+++ b/lib/gateways/statements.go
@@ -51,6 +51,20 @@
 	}
 }
 
+// withdrawal returns the result of an attempt whose request must not be sent any more.
+// The server may have stated that in another answer, while the request got its
+// reservation or its connection was opened.
+func (request *request) withdrawal(reservation *placements.Reservation) (withdrawn, bool) {
+	switch permission := request.gateway.Queue.permissionToSend(reservation).(type) {
+	case placements.MaySendAfterRestart:
+		return withdrawn{cause: "leaving", heardAt: permission.HeardAt}, true
+	case placements.MaySendFrom:
+		return withdrawn{cause: "not_before", heardAt: permission.HeardAt}, true
+	default:
+		return withdrawn{}, false
+	}
+}
+
 func (request *request) recordUnreadable(server placements.Server) {
 	request.gateway.metrics.countStatement("unreadable")
 	request.gateway.unreadableLog.Do(func() { request.logStatement(eventUnreadable, server) })
@@ -89,13 +103,12 @@
 	return isChanged
 }
 
-// mayStillSend reports whether the request may be sent to the server for which the
-// reservation was made. The server may have stated otherwise in another answer, while
-// the request got its reservation or its connection was opened.
-func (queue *AdmissionQueue) mayStillSend(reservation *placements.Reservation) bool {
+// permissionToSend returns whether the request may be sent to the server for which the
+// reservation was made.
+func (queue *AdmissionQueue) permissionToSend(reservation *placements.Reservation) placements.Permission {
 	queue.mutex.Lock()
 	defer queue.mutex.Unlock()
-	return queue.dispatcher.MayStillSend(reservation, time.Now())
+	return queue.dispatcher.PermissionToSend(reservation, time.Now())
 }
 
 // retryAfter returns after which time a caller should retry whose request the servers
--- a/lib/gateways/statements_test.go
+++ b/lib/gateways/statements_test.go
@@ -163,11 +163,11 @@
 // connection was opened.
 func TestChosenRequestsAreWithdrawn(t *testing.T) {
 	cases := []struct {
-		name  string
-		state func(fleet *placements.Fleet, now time.Time)
+		name, cause string
+		state       func(fleet *placements.Fleet, now time.Time)
 	}{
-		{"it leaves", func(fleet *placements.Fleet, now time.Time) { fleet.RecordLeaving(placements.Server{ID: "0"}, now) }},
-		{"it wants no requests", func(fleet *placements.Fleet, now time.Time) { fleet.RecordDeferral("0", now.Add(time.Minute), now) }},
+		{"it leaves", "leaving", func(fleet *placements.Fleet, now time.Time) { fleet.RecordLeaving(placements.Server{ID: "0"}, now) }},
+		{"it wants no requests", "not_before", func(fleet *placements.Fleet, now time.Time) { fleet.RecordDeferral("0", now.Add(time.Minute), now) }},
 	}
 	for _, each := range cases {
 		convey.Convey("Given a request for which a server was chosen that then states that "+each.name, t, func() {
@@ -175,6 +175,8 @@
 			fixture := newGatewayFixture(t, 4, states)
 			scope := tally.NewTestScope("", nil)
 			fixture.gateway.metrics = newGatewayMetrics(scope)
+			core, lines := observer.New(zap.InfoLevel)
+			fixture.gateway.Logger = zap.New(core)
 			// The gateway asks for the deadline of the version after it has chosen the server.
 			fixture.gateway.VersionDeadline = func(string, int) (time.Time, bool) {
 				fixture.list(listOf(4, states, other))
@@ -186,6 +188,7 @@
 			convey.So(status, convey.ShouldEqual, http.StatusOK)
 			convey.So(body, convey.ShouldEqual, "second")
 			convey.So(states.requests(), convey.ShouldBeEmpty)
+			convey.So(lines.FilterMessage(eventWithdrawn).FilterField(zap.String("cause", each.cause)).Len(), convey.ShouldEqual, 1)
 			convey.So(scope.Snapshot().Counters()["attempts+outcome=withdrawn"].Value(), convey.ShouldEqual, 1)
 		})
 	}
--- a/lib/placements/availability.go
+++ b/lib/placements/availability.go
@@ -57,14 +57,16 @@
 	// MaySend allows requests.
 	MaySend struct{}
 
-	// MaySendFrom allows requests from the time on.
+	// MaySendFrom allows requests from the time on. HeardAt is when the cause was heard.
 	MaySendFrom struct {
-		At    time.Time
-		Cause WaitCause
+		At      time.Time
+		Cause   WaitCause
+		HeardAt time.Time
 	}
 
-	// MaySendAfterRestart allows requests once the server was started again.
-	MaySendAfterRestart struct{}
+	// MaySendAfterRestart allows requests once the server was started again. HeardAt is
+	// when the server or another entry told that it leaves.
+	MaySendAfterRestart struct{ HeardAt time.Time }
 
 	// WaitCause is why a server gets no requests until some time.
 	WaitCause int
@@ -104,7 +106,6 @@
 
 func (LeavingChange) isStatementChange()       {}
 func (RestartChange) isStatementChange()       {}
-func (LimitChange) isStatementChange()         {}
 func (MaySend) isPermission()                  {}
 func (MaySendFrom) isPermission()              {}
 func (MaySendAfterRestart) isPermission()      {}
@@ -121,11 +122,11 @@
 func (availability Availability) Permission(now time.Time) Permission {
 	switch {
 	case availability.leaving.isKnown():
-		return MaySendAfterRestart{}
+		return MaySendAfterRestart{HeardAt: availability.leaving.HeardAt}
 	case availability.deferral.holds(now):
-		return MaySendFrom{At: availability.deferral.until, Cause: Deferred}
+		return MaySendFrom{At: availability.deferral.until, Cause: Deferred, HeardAt: availability.deferral.heardAt}
 	case availability.rejection.holds(now):
-		return MaySendFrom{At: availability.rejection.until, Cause: RejectedRecently}
+		return MaySendFrom{At: availability.rejection.until, Cause: RejectedRecently, HeardAt: availability.rejection.heardAt}
 	default:
 		return MaySend{}
 	}
@@ -253,18 +254,15 @@
 	return changes
 }
 
-// MayStillSend reports whether a request for which the server was chosen may still be
+// PermissionToSend returns whether a request for which the server was chosen may still be
 // sent there. Only what the server itself has stated prevents that: a rejection of
 // another request says nothing about a slot that is reserved.
-func (fleet *Fleet) MayStillSend(id string, now time.Time) bool {
-	switch permission := fleet.availability[id].Permission(now).(type) {
-	case MaySendAfterRestart:
-		return false
-	case MaySendFrom:
-		return permission.Cause != Deferred
-	default:
-		return true
+func (fleet *Fleet) PermissionToSend(id string, now time.Time) Permission {
+	permission := fleet.availability[id].Permission(now)
+	if wait, mustWait := permission.(MaySendFrom); mustWait && wait.Cause != Deferred {
+		return MaySend{}
 	}
+	return permission
 }
 
 // deferredUntil returns the earliest time at which a server of the service takes
--- a/lib/placements/availability_machine_test.go
+++ b/lib/placements/availability_machine_test.go
@@ -169,7 +169,7 @@
 	entry := model.drawEntry(t, "entry")
 	for _, request := range entry.sent {
 		statement, isForbidden := model.forbids(entry, request.server.ID)
-		if isForbidden && entry.fleet.MayStillSend(request.server.ID, model.now) {
+		if isForbidden && maySend(entry.fleet, request.server.ID, model.now) {
 			t.Fatalf("request may be sent to server %s, which stated %+v", request.server.ID, statement)
 		}
 	}
--- a/lib/placements/availability_test.go
+++ b/lib/placements/availability_test.go
@@ -12,6 +12,11 @@
 	return newEngine(id, "nairobi", 1).WithStart(startedUnixMilli)
 }
 
+func maySend(fleet *Fleet, id string, now time.Time) bool {
+	_, may := fleet.PermissionToSend(id, now).(MaySend)
+	return may
+}
+
 func isNewLeaving(fleet *Fleet, server Server, now time.Time) bool {
 	_, isNew := fleet.RecordLeaving(server, now)
 	return isNew
@@ -138,16 +143,16 @@
 func TestReservationsAreCheckedAgain(t *testing.T) {
 	convey.Convey("Given a request for which a server was chosen", t, func() {
 		fleet := fleetOf(startedEngine("a", 5))
-		convey.So(fleet.MayStillSend("a", at(0)), convey.ShouldBeTrue)
+		convey.So(maySend(fleet, "a", at(0)), convey.ShouldBeTrue)
 		fleet.RecordStart("a", 0, at(0))
 		fleet.RecordEnd("a", Rejected, at(0))
 		convey.So(fleet.CountCandidates(requirements, 1, at(0)), convey.ShouldResemble, CandidateCounts{Closed: 1})
-		convey.So(fleet.MayStillSend("a", at(0)), convey.ShouldBeTrue)
+		convey.So(maySend(fleet, "a", at(0)), convey.ShouldBeTrue)
 		fleet.RecordDeferral("a", at(time.Second), at(0))
-		convey.So(fleet.MayStillSend("a", at(0)), convey.ShouldBeFalse)
-		convey.So(fleet.MayStillSend("a", at(time.Second)), convey.ShouldBeTrue)
+		convey.So(maySend(fleet, "a", at(0)), convey.ShouldBeFalse)
+		convey.So(maySend(fleet, "a", at(time.Second)), convey.ShouldBeTrue)
 		fleet.RecordLeaving(startedEngine("a", 5), at(time.Second))
-		convey.So(fleet.MayStillSend("a", at(time.Second)), convey.ShouldBeFalse)
+		convey.So(maySend(fleet, "a", at(time.Second)), convey.ShouldBeFalse)
 	})
 }
 
--- a/lib/placements/dispatcher.go
+++ b/lib/placements/dispatcher.go
@@ -295,10 +295,10 @@
 	return dispatcher.fleet.RecordDeferral(reservation.Server.ID, until, now)
 }
 
-// MayStillSend reports whether the request may still be sent to the server for which the
-// reservation was made.
-func (dispatcher *Dispatcher) MayStillSend(reservation *Reservation, now time.Time) bool {
-	return dispatcher.fleet.MayStillSend(reservation.Server.ID, now)
+// PermissionToSend returns whether the request may still be sent to the server for which
+// the reservation was made.
+func (dispatcher *Dispatcher) PermissionToSend(reservation *Reservation, now time.Time) Permission {
+	return dispatcher.fleet.PermissionToSend(reservation.Server.ID, now)
 }
 
 // RecordResponseTime records the time to the first event or answer of a request.
--- a/lib/placements/limits.go
+++ b/lib/placements/limits.go
@@ -74,6 +74,8 @@
 	serverLimits map[string]serverLimit
 )
 
+func (LimitChange) isStatementChange() {}
+
 // IsCurrent reports whether the statement still counts. One that no answer confirms is
 // forgotten, in case that the server no longer gets requests.
 func (statement LimitStatement) IsCurrent(now time.Time) bool {
