Merge what servers state of themselves: leaving, and no requests before a time

A request that waits for a second server while the first one is silent may now end its wait with a refusal, and a request whose server has withdrawn is not sent, also when another server works on it.

--- a/lib/gateways/attempts.go
+++ b/lib/gateways/attempts.go
@@ -134,8 +134,8 @@
 	return nil
 }
 
-// send sends the request over the attempt's connection, unless its caller has left or a
-// part of its prompt was quarantined meanwhile.
+// send sends the request over the attempt's connection, unless its caller has left, a
+// part of its prompt was quarantined, or the server wants no requests any more.
 func (request *request) send(ctx context.Context, attempt *attempt) attemptResult {
 	if request.callerDisconnected() {
 		return callerGone{}
@@ -146,6 +146,9 @@
 	if verdict := request.checkQuarantine(); verdict.IsRefused() {
 		return quarantined{retryAt: verdict.RetryAt}
 	}
+	if outcome, isWithdrawn := request.withdrawal(attempt.reservation); isWithdrawn {
+		return outcome
+	}
 	if err := attempt.conn.send(request.encode(attempt.reservation.Server, attempt.sentAt)); err != nil {
 		return request.classifyError(ctx, err)
 	}
@@ -252,6 +255,8 @@
 	case notSent:
 		request.connectFailures++
 		request.log(eventNotReached, append(place, zap.Error(outcome.err))...)
+	case withdrawn:
+		request.log(eventWithdrawn, append(place, zap.String("cause", outcome.cause), zap.Duration("heard_before", time.Since(outcome.heardAt)))...)
 	case notRun:
 		if outcome.misdirected {
 			request.misdirections++
--- a/lib/gateways/forward.go
+++ b/lib/gateways/forward.go
@@ -128,6 +128,7 @@
 func (request *request) handleHead(attempt *attempt) attemptResult {
 	gateway, reservation, head := request.gateway, attempt.reservation, attempt.head
 	request.recordLimit(reservation, head.info, attempt.sentAt)
+	request.recordStatements(reservation, head.info)
 	if head.info.NotRun {
 		return notRun{misdirected: head.info.Misdirected}
 	}
--- a/lib/gateways/retries.go
+++ b/lib/gateways/retries.go
@@ -34,6 +34,12 @@
 	delivered struct{}
 	// notSent means that no byte was sent to the server.
 	notSent struct{ err error }
+	// withdrawn means that nothing was sent, because the server stated at heardAt that it
+	// wants no requests.
+	withdrawn struct {
+		cause   string
+		heardAt time.Time
+	}
 	// notRun means that the server stated that it did not run the request.
 	notRun struct{ misdirected bool }
 	// outcomeUnknown means that the request may have run and its answer was lost or
@@ -60,6 +66,7 @@
 
 func (delivered) isAttemptResult()      {}
 func (notSent) isAttemptResult()        {}
+func (withdrawn) isAttemptResult()      {}
 func (notRun) isAttemptResult()         {}
 func (outcomeUnknown) isAttemptResult() {}
 func (serverError) isAttemptResult()    {}
@@ -132,6 +139,8 @@
 			request.endNotRun(reasonTurnedAway, refusedRetryAfter)
 			return true
 		}
+	case withdrawn:
+		return false
 	case quarantined:
 		request.endNotRun(reasonQuarantined, time.Until(outcome.retryAt))
 		return true
@@ -193,7 +202,7 @@
 		request.fail(reason)
 		return
 	}
-	request.refuse(reason, retryAfter)
+	request.refuse(reason, request.gateway.Queue.retryAfter(request.service, retryAfter))
 }
 
 // mayRetry reports whether the request may be sent to one more server. It takes a
@@ -229,7 +238,7 @@
 			return placements.Failed
 		}
 		return placements.Abandoned
-	case callerGone, quarantined:
+	case callerGone, quarantined, withdrawn:
 		return placements.Abandoned
 	default:
 		return placements.Answered
--- a/lib/gateways/takeover.go
+++ b/lib/gateways/takeover.go
@@ -56,9 +56,9 @@
 // step waits for the next event and handles it. It returns the outcome of the request at
 // these servers, nil if it goes on.
 func (relay *relay) step(ctx context.Context) attemptResult {
-	var granted chan *placements.Reservation
+	var waitEnded chan waitEnd
 	if relay.place != nil {
-		granted = relay.place.granted
+		waitEnded = relay.place.ended
 	}
 	var second chan answerPart
 	if len(relay.open) == maxContenders {
@@ -69,9 +69,11 @@
 		return relay.handle(ctx, relay.open[0], part)
 	case part := <-second:
 		return relay.handle(ctx, relay.open[1], part)
-	case reservation := <-granted:
+	case end := <-waitEnded:
 		relay.place = nil
-		relay.openSecond(ctx, reservation)
+		if end.reservation != nil {
+			relay.openSecond(ctx, end.reservation)
+		}
 	case <-relay.timer.C:
 		return relay.onTimer(ctx)
 	}
--- a/lib/loads/listener.go
+++ b/lib/loads/listener.go
@@ -26,30 +26,32 @@
 		FullAnnouncement() directives.Announcement
 	}
 
-	// LimitSource provides the limits that servers stated to this entry.
-	LimitSource interface {
+	// StatementSource provides what servers stated to this entry about themselves: their
+	// limits, and that they leave.
+	StatementSource interface {
 		OwnLimits() map[string]placements.LimitStatement
+		OwnLeaving() map[string]placements.LeavingStatement
 	}
 
 	// Listener receives the reports at an entry.
 	Listener struct {
-		conn     net.PacketConn
-		agents   func() []netip.AddrPort
-		source   AnnouncementSource
-		limits   LimitSource
-		crashes  CrashSource
-		onReport func(placements.Report)
-		logger   *zap.Logger
+		conn       net.PacketConn
+		agents     func() []netip.AddrPort
+		source     AnnouncementSource
+		statements StatementSource
+		crashes    CrashSource
+		onReport   func(placements.Report)
+		logger     *zap.Logger
 	}
 )
 
 // NewListener returns a listener that subscribes at the agents, sends them the
-// announcements, limits and crashes of the sources and passes their reports to onReport.
+// announcements, statements and crashes of the sources and passes their reports to onReport.
 func NewListener(
-	conn net.PacketConn, agents func() []netip.AddrPort, source AnnouncementSource, limits LimitSource, crashes CrashSource,
+	conn net.PacketConn, agents func() []netip.AddrPort, source AnnouncementSource, statements StatementSource, crashes CrashSource,
 	onReport func(placements.Report), logger *zap.Logger,
 ) *Listener {
-	return &Listener{conn: conn, agents: agents, source: source, limits: limits, crashes: crashes, onReport: onReport, logger: logger}
+	return &Listener{conn: conn, agents: agents, source: source, statements: statements, crashes: crashes, onReport: onReport, logger: logger}
 }
 
 // Run receives reports and renews subscriptions until the context ends.
@@ -71,6 +73,7 @@
 			Entries: placements.EntryGroup{Count: max(incoming.Report.Entries, 0), Position: max(incoming.Report.Position, 0)},
 			Limits:  decodeLimits(incoming.Report.Limits, time.Now()),
 			Crashes: decodeCrashes(incoming.Report.Crashes, time.Now()),
+			Leaving: decodeLeaving(incoming.Report.Leaving, time.Now()),
 		})
 	}
 }
@@ -100,6 +103,12 @@
 	send(listener.conn, agent, message{Crashes: encodeCrashes(records, now)}, listener.logger)
 }
 
+// NotifyLeaving informs an agent of a server that stated that it leaves.
+func (listener *Listener) NotifyLeaving(agent netip.AddrPort, server string, statement placements.LeavingStatement) {
+	servers := encodeLeaving(map[string]placements.LeavingStatement{server: statement}, time.Now())
+	send(listener.conn, agent, message{Leaving: servers}, listener.logger)
+}
+
 // Announce sends the announcement to all agents at once. Each renewal of a subscription
 // repeats it.
 func (listener *Listener) Announce() {
@@ -111,9 +120,11 @@
 func (listener *Listener) sendSubscription(agent netip.AddrPort) {
 	announcement := listener.source.Announcement()
 	now := time.Now()
-	limits := encodeLimits(listener.limits.OwnLimits(), now)
-	crashes := encodeCrashes(listener.crashes.Own(now), now)
-	send(listener.conn, agent, message{Subscribe: true, Announcement: &announcement, Limits: limits, Crashes: crashes}, listener.logger)
+	send(listener.conn, agent, message{
+		Subscribe: true, Announcement: &announcement,
+		Limits: encodeLimits(listener.statements.OwnLimits(), now), Leaving: encodeLeaving(listener.statements.OwnLeaving(), now),
+		Crashes: encodeCrashes(listener.crashes.Own(now), now),
+	}, listener.logger)
 }
 
 func (listener *Listener) subscribe(ctx context.Context) {
--- a/lib/loads/loads.go
+++ b/lib/loads/loads.go
@@ -24,16 +24,18 @@
 const (
 	// maxDatagramBytes has room for the parameters of some dozen kinds of engines.
 	maxDatagramBytes = 8192
-	// maxLimits bounds the limits in a datagram to a quarter of its size.
-	maxLimits = 48
-	maxAgeMS  = 1 << 31
+	// maxLimits bounds the limits in a datagram to a quarter of its size, and maxLeaving
+	// the servers that leave.
+	maxLimits  = 48
+	maxLeaving = 40
+	maxAgeMS   = 1 << 31
 )
 
 type (
 	// message is the only kind of datagram. Entries set Subscribe, Announcement, Request,
-	// Limits, which they have heard from servers, and Crashes; agents set Report and
-	// NeedsServices, which requests an announcement with the parameters of the engines and
-	// origins.
+	// Limits and Leaving, which they have heard from servers, and Crashes; agents set Report
+	// and NeedsServices, which requests an announcement with the parameters of the engines
+	// and origins.
 	message struct {
 		Subscribe     bool                     `json:"subscribe,omitempty"`
 		Announcement  *directives.Announcement `json:"news,omitempty"`
@@ -41,6 +43,7 @@
 		Request       *request                 `json:"request,omitempty"`
 		Limits        map[string]limit         `json:"limits,omitempty"`
 		Crashes       *crashes                 `json:"crashes,omitempty"`
+		Leaving       map[string]leaving       `json:"leaving,omitempty"`
 		Report        *report                  `json:"report,omitempty"`
 	}
 
@@ -58,6 +61,12 @@
 		AgeMS int64   `json:"age_ms"`
 	}
 
+	// leaving is a placements.LeavingStatement in a datagram.
+	leaving struct {
+		AgeMS int64 `json:"age_ms"`
+		Born  int64 `json:"born,omitempty"`
+	}
+
 	// report is a placements.Report in a datagram.
 	report struct {
 		Server      string         `json:"server"`
@@ -69,11 +78,12 @@
 		Versions    map[string]int `json:"versions,omitempty"`
 		// Number counts the agent's reports. Entries is how many entries it reports to, and
 		// Position the place of the addressed one among them.
-		Number   int              `json:"number,omitempty"`
-		Entries  int              `json:"entries,omitempty"`
-		Position int              `json:"position,omitempty"`
-		Limits   map[string]limit `json:"limits,omitempty"`
-		Crashes  *crashes         `json:"crashes,omitempty"`
+		Number   int                `json:"number,omitempty"`
+		Entries  int                `json:"entries,omitempty"`
+		Position int                `json:"position,omitempty"`
+		Limits   map[string]limit   `json:"limits,omitempty"`
+		Leaving  map[string]leaving `json:"leaving,omitempty"`
+		Crashes  *crashes           `json:"crashes,omitempty"`
 	}
 )
 
@@ -104,6 +114,33 @@
 	return statements
 }
 
+// encodeLeaving returns the statements with their ages, at most maxLeaving of them.
+func encodeLeaving(statements map[string]placements.LeavingStatement, now time.Time) map[string]leaving {
+	encoded := map[string]leaving{}
+	for server, statement := range statements {
+		if len(encoded) == maxLeaving {
+			break
+		}
+		encoded[server] = leaving{AgeMS: now.Sub(statement.HeardAt).Milliseconds(), Born: statement.StartedUnixMilli}
+	}
+	return encoded
+}
+
+// decodeLeaving returns the statements that are still passed on.
+func decodeLeaving(encoded map[string]leaving, now time.Time) map[string]placements.LeavingStatement {
+	if len(encoded) == 0 {
+		return nil
+	}
+	statements := map[string]placements.LeavingStatement{}
+	for server, each := range encoded {
+		statement := placements.LeavingStatement{HeardAt: timeOfAge(each.AgeMS, now), StartedUnixMilli: max(each.Born, 0)}
+		if statement.IsCurrent(now) {
+			statements[server] = statement
+		}
+	}
+	return statements
+}
+
 func send(conn net.PacketConn, to netip.AddrPort, outgoing message, logger *zap.Logger) {
 	encoded, err := json.Marshal(outgoing)
 	if err != nil {
--- a/lib/placements/limits.go
+++ b/lib/placements/limits.go
@@ -74,6 +74,8 @@
 	serverLimits map[string]serverLimit
 )
 
+func (LimitChange) isStatementChange() {}
+
 // IsCurrent reports whether the statement still counts. One that no answer confirms is
 // forgotten, in case that the server no longer gets requests.
 func (statement LimitStatement) IsCurrent(now time.Time) bool {
@@ -205,8 +207,8 @@
 
 // mergeLimits records the limits that other entries have heard, and returns those that
 // have changed.
-func (fleet *Fleet) mergeLimits(heard map[string]LimitStatement, now time.Time) []LimitChange {
-	var changes []LimitChange
+func (fleet *Fleet) mergeLimits(heard map[string]LimitStatement, now time.Time) []StatementChange {
+	var changes []StatementChange
 	for id, statement := range heard {
 		if fleet.limits.merge(id, statement, now, fleet.entryGroup(id, now)) {
 			changes = append(changes, LimitChange{Server: id, PerS: statement.PerS})
