Count a request's pending tokens once in the emulator

Cause: when a caller left, its request's tokens were removed from the engine's pending tokens at once and again when the request arrived at the engine, when its first event arrived or when a rejection arrived. A resumed stream whose caller left before the first event of its new run was never removed at all.

Change: an execution removes its tokens itself, and only once. The unused constants abandonTime and abandonGaps are removed.

--- a/cmd/bench/emulation/emulation_test.go
+++ b/cmd/bench/emulation/emulation_test.go
@@ -103,3 +103,20 @@
 		})
 	}
 }
+
+// Guards against a request whose tokens are removed twice from an engine's pending
+// tokens, or never, because its caller left before the engine answered. The engine
+// then appears to have less or more to do than it has.
+func TestPendingTokensEndAtZero(t *testing.T) {
+	for _, run := range []struct{ policy, pattern string }{
+		{"predicted", "give_up"}, {"patient", "give_up"}, {"patient", "third_lost"},
+	} {
+		convey.Convey("Given the pattern "+run.pattern+" and the policy "+run.policy, t, func() {
+			const seed, engines = 1, 6
+			variant, pattern := findVariant(t, run.policy, run.pattern)
+			simulation := newSimulation(variant, pattern, seed, engines)
+			simulation.run(usualRate * engines / engineCount)
+			convey.So(simulation.pendingTokens, convey.ShouldResemble, make([]int, engines))
+		})
+	}
+}
--- a/cmd/bench/emulation/engine.go
+++ b/cmd/bench/emulation/engine.go
@@ -32,6 +32,9 @@
 		unreadTokens    int
 		promptTokens    int
 		remainingTokens int
+		// clearPending removes the execution's tokens from its engine's pending tokens.
+		// Only the first call has an effect.
+		clearPending func()
 		// onEvent is called for each event. onEnd is called once, with false if the
 		// engine did not complete the execution.
 		onEvent    func(isFirst bool)
--- a/cmd/bench/emulation/simulation.go
+++ b/cmd/bench/emulation/simulation.go
@@ -4,6 +4,7 @@
 	"math"
 	"math/rand/v2"
 	"strconv"
+	"sync"
 	"time"
 
 	"firford/lib/placements"
@@ -25,10 +26,6 @@
 	// rejectedRetryDelay is how long a caller waits before its retry after the engines
 	// have rejected its request.
 	rejectedRetryDelay = 300 * time.Millisecond
-	// Callers give up after the longer of abandonTime and abandonGaps gaps without an
-	// event. The simulation does not use these two.
-	abandonTime = 2 * time.Second
-	abandonGaps = 8
 	// After a refusal, a caller waits at most its remaining time divided by
 	// retryTimeDivisor.
 	retryTimeDivisor = 3
@@ -76,6 +73,12 @@
 
 // emulate simulates a policy under a load pattern and returns its result.
 func emulate(variant policyVariant, pattern loadPattern, seed uint64, engines int, rate float64) result {
+	simulation := newSimulation(variant, pattern, seed, engines)
+	simulation.run(rate)
+	return simulation.result
+}
+
+func newSimulation(variant policyVariant, pattern loadPattern, seed uint64, engines int) *simulation {
 	simulation := &simulation{
 		clock: newClock(), random: newRandom(seed), pattern: pattern,
 		pendingTokens: make([]int, engines), closedEngines: make([]bool, engines), crashedEngines: make([]bool, engines),
@@ -86,14 +89,18 @@
 	for number := range entryCount {
 		simulation.entries = append(simulation.entries, variant.newPolicy(simulation, number))
 	}
-	if pattern.scheduleFaults != nil {
-		pattern.scheduleFaults(simulation)
+	return simulation
+}
+
+// run simulates requests at the rate until all of them have ended.
+func (simulation *simulation) run(rate float64) {
+	if simulation.pattern.scheduleFaults != nil {
+		simulation.pattern.scheduleFaults(simulation)
 	}
 	simulation.clock.scheduleAfter(0, simulation.sendReports)
 	simulation.scheduleArrival(rate)
 	simulation.clock.runUntil(startTime.Add(arrivalDuration + 10*time.Second))
 	simulation.result.tokensWritten = simulation.countTokens()
-	return simulation.result
 }
 
 func (simulation *simulation) countTokens() int {
@@ -187,17 +194,11 @@
 	entry := request.entry
 	execution := &execution{unreadTokens: request.kind.promptTokens, promptTokens: request.kind.promptTokens, remainingTokens: request.kind.answerTokens - request.eventCount*standardProfile.stride}
 	request.execution = execution
-	isCleared := false
-	clearPending := func() {
-		if !isCleared {
-			isCleared = true
-			simulation.pendingTokens[engineNumber] -= reservation.Tokens
-		}
-	}
+	execution.clearPending = sync.OnceFunc(func() { simulation.pendingTokens[engineNumber] -= reservation.Tokens })
 	execution.onEvent = func(isFirst bool) {
 		simulation.clock.scheduleAfter(engineDelay, func() {
 			if isFirst {
-				clearPending()
+				execution.clearPending()
 				if !execution.hasEnded || request.reservation == reservation {
 					entry.recordFirstEvent(reservation, simulation.clock.now.Sub(sentAt))
 				}
@@ -208,21 +209,21 @@
 	execution.onEnd = func(isComplete bool) {
 		execution.hasEnded = true
 		simulation.clock.scheduleAfter(engineDelay, func() {
-			clearPending()
+			execution.clearPending()
 			simulation.handleEnd(request, execution, reservation, isComplete)
 		})
 	}
 	simulation.pendingTokens[engineNumber] += reservation.Tokens
 	simulation.clock.scheduleAfter(engineDelay, func() {
 		if execution.hasEnded {
-			clearPending()
+			execution.clearPending()
 			return
 		}
 		if simulation.engines[engineNumber].accept(execution) {
 			return
 		}
 		simulation.clock.scheduleAfter(engineDelay, func() {
-			clearPending()
+			execution.clearPending()
 			simulation.handleRejection(request, execution, reservation, simulation.crashedEngines[engineNumber])
 		})
 	})
@@ -338,21 +339,13 @@
 	request.entry.cancel(request)
 	if request.execution != nil {
 		request.execution.hasEnded = true
+		request.execution.clearPending()
 		request.execution = nil
-		simulation.pendingTokens[simulation.engineIndex(request.reservation)] -= unansweredTokens(request)
 		request.entry.release(request.reservation, placements.Abandoned)
 	}
 	simulation.finish(request, outcome)
 }
 
-// unansweredTokens returns the request's share of the engine's pending tokens.
-func unansweredTokens(request *request) int {
-	if request.eventCount > 0 || request.reservation.Answered {
-		return 0
-	}
-	return request.reservation.Tokens
-}
-
 // finishAnswered finishes a request with a complete answer, on time or late.
 func (simulation *simulation) finishAnswered(request *request) {
 	outcome := outcomeLate
