--- a/cmd/entry/routed/routed.go
+++ b/cmd/entry/routed/routed.go
@@ -117,12 +117,7 @@
 	entry.store = adapter.NewStore(settings.PlatformAddress, entry.metrics.Scope)
 	entry.reachability = platform.NewReachability(entry.store, storeProbeInterval)
 	entry.queue = gateways.NewAdmissionQueue(placements.NewFleet(settings.DataCentre), entry.notifyAgent)
-	entry.follower = directives.New(directives.Dependencies{
-		Feed: entry.store, Table: adapter.OperatorTable, PollWait: operatorPollWait, PollPause: operatorPollPause,
-		RestorePause: storeRestorePause, Reachability: entry.reachability,
-		VersionTimeout: settings.VersionTimeout - versionMargin, EarlierVersionTimeout: earlierVersionTimeout,
-		Decode: adapter.DecodeDesiredState, RoutesChanged: entry.applyRoutes, VersionAnnounced: entry.announceVersions, Logger: logger, Scope: entry.metrics.Scope,
-	})
+	entry.follower = entry.newFollower()
 	entry.agents.Store(&[]netip.AddrPort{})
 	entry.confirmServerList()
 	entry.gateway = gateways.New(gateways.Dependencies{
@@ -321,6 +316,18 @@
 	}
 }
 
+// newFollower returns the follower of the operator's table. It requires a version
+// versionMargin before it is due.
+func (entry *entry) newFollower() *directives.Follower {
+	return directives.New(directives.Dependencies{
+		Feed: entry.store, Table: adapter.OperatorTable, PollWait: operatorPollWait, PollPause: operatorPollPause,
+		RestorePause: storeRestorePause, Reachability: entry.reachability,
+		VersionTimeout: entry.settings.VersionTimeout - versionMargin, EarlierVersionTimeout: earlierVersionTimeout,
+		Decode: adapter.DecodeDesiredState, RoutesChanged: entry.applyRoutes, VersionAnnounced: entry.announceVersions,
+		Logger: entry.logger, Scope: entry.metrics.Scope,
+	})
+}
+
 // announceVersions makes new versions count for placements and informs all agents about
 // them immediately. Their subscriptions repeat it in case the message is lost.
 func (entry *entry) announceVersions() {
