Measure a cell without requests after its warm-up

measureCell read the engines' counters at the first request after the warm-up and panicked (index out of range) if there was none. It now reads them at the end in that case. TestMeasureWithoutRequests panicked before: go test -count=1 -run TestMeasureWithoutRequests firford/cmd/bench/selection

--- a/cmd/bench/selection/measure.go
+++ b/cmd/bench/selection/measure.go
@@ -83,6 +83,9 @@
 		callers.Go(func() { measured.send(ctx, entry, !next.Before(measureStart)) })
 	}
 	callers.Wait()
+	if runsBefore == nil {
+		runsBefore = fleet.countRuns()
+	}
 	measured.runs = fleet.countRuns()
 	for index := range measured.runs {
 		measured.runs[index] -= runsBefore[index]
--- a/cmd/bench/selection/selection_test.go
+++ b/cmd/bench/selection/selection_test.go
@@ -25,6 +25,19 @@
 	})
 }
 
+// Guards against a panic when no request falls into the measured time.
+func TestMeasureWithoutRequests(t *testing.T) {
+	convey.Convey("A cell whose requests all come before the measured time has no runs", t, func() {
+		measured, err := measureCell(context.Background(), cellPlan{
+			policy: backends.DefaultPolicy(), lag: 50 * time.Millisecond, entries: 1, speeds: []float64{1, 1},
+			rate: 0.001, warmUp: 100 * time.Millisecond, length: 100 * time.Millisecond,
+		}, 1)
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(measured.sent, convey.ShouldEqual, 0)
+		convey.So(measured.runs, convey.ShouldResemble, []int64{0, 0})
+	})
+}
+
 // Guards against a spread that ignores the engines' speeds and so reports a slow
 // engine's lower number of runs as an uneven use.
 func TestSpread(t *testing.T) {
