Report an unexpected status code without a nil cause

Two errors of the burst bench wrapped a nil error when a call succeeded with an unexpected status code, and ended in "%!w(<nil>)". No test: the two calls need a running host, and the branches are now the plain form.

--- a/cmd/bench/burst/drive.go
+++ b/cmd/bench/burst/drive.go
@@ -229,8 +229,11 @@
 func (driver *driver) fetchStatus(host hosts.Host) (status, error) {
 	var decoded status
 	code, body, err := driver.client.GetTimeout(nil, "http://"+driver.plan.AdminAddresses[host.Name]+statusPath, callTimeout)
-	if err != nil || code != fasthttp.StatusOK {
-		return decoded, fmt.Errorf("read status of %s: status code %d: %w", host.Name, code, err)
+	if err != nil {
+		return decoded, fmt.Errorf("read status of %s: %w", host.Name, err)
+	}
+	if code != fasthttp.StatusOK {
+		return decoded, fmt.Errorf("read status of %s: status code %d", host.Name, code)
 	}
 	return decoded, json.Unmarshal(body, &decoded)
 }
--- a/cmd/bench/burst/origin.go
+++ b/cmd/bench/burst/origin.go
@@ -38,8 +38,11 @@
 
 func (driver *driver) originBytes() (int64, error) {
 	code, body, err := driver.client.GetTimeout(nil, "http://"+driver.plan.Origin+countersPath, callTimeout)
-	if err != nil || code != fasthttp.StatusOK {
-		return 0, fmt.Errorf("read counters of the origin: status code %d: %w", code, err)
+	if err != nil {
+		return 0, fmt.Errorf("read counters of the origin: %w", err)
+	}
+	if code != fasthttp.StatusOK {
+		return 0, fmt.Errorf("read counters of the origin: status code %d", code)
 	}
 	var counters originCounters
 	if err := json.Unmarshal(body, &counters); err != nil {
