Remove decoded parameters that nothing uses

HasSession, PairsPerM, UsualPrompt and MemoryTokens were decoded from the operator's table and read nowhere. No stored format has them. The announcements between entries and agents carried the last three; a process of an older release reads zero instead and ignores them too, but computes another digest of the parameters, so that an agent of another release requests the parameters once for each new configuration.

The golden file of TestDecodeConfiguration prints whole values: it loses these four fields and nothing else. go test -count=1 -run TestDecode firford/platform

--- a/lib/routes/routes.go
+++ b/lib/routes/routes.go
@@ -57,7 +57,6 @@
 		FirstEventTarget time.Duration
 		EventGap         time.Duration
 		Shares           []Share
-		HasSession       bool
 	}
 
 	// Share is the fraction of a route's requests that a service gets. Weights are
@@ -91,10 +90,7 @@
 		StepPerRequest  time.Duration `json:"step_per_request"`
 		StepPer1kTokens time.Duration `json:"step_per_1k_tokens"`
 		PrefillPerS     float64       `json:"prefill_per_s"`
-		PairsPerM       time.Duration `json:"pairs_per_m"`
-		UsualPrompt     float64       `json:"usual_prompt"`
 		UsualAnswer     float64       `json:"usual_answer"`
-		MemoryTokens    float64       `json:"memory_tokens"`
 		Models          []string      `json:"models"`
 	}
 
