Use one function for sleeping with a context

lib/requests, lib/stagings, lib/rollouts and the burst bench each had a function that sleeps until a context ends, three with time.After and one with a timer that it stops. lib/waits has it once, with a test. Callers are unchanged but for the name; a duration of zero or less does not wait and needs no timer.

Ruled out: the tick loops look alike but differ in what else wakes them, and only two are the same.

go test -count=1 of lib/waits, lib/stagings, lib/requests, lib/rollouts and cmd/bench/burst passes.

--- a/cmd/bench/burst/drive.go
+++ b/cmd/bench/burst/drive.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"firford/lib/hosts"
+	"firford/lib/waits"
 )
 
 const (
@@ -102,7 +103,7 @@
 		return result{}, err
 	}
 	stopBaseline := driver.startLiveLoad(ctx)
-	sleep(ctx, baselineDuration)
+	waits.Sleep(ctx, baselineDuration)
 	before := stopBaseline()
 	originBefore, err := driver.originBytes()
 	if err != nil {
@@ -147,7 +148,7 @@
 			if err == nil && status == fasthttp.StatusOK {
 				break
 			}
-			if !time.Now().Before(deadline) || !sleep(ctx, 100*time.Millisecond) {
+			if !time.Now().Before(deadline) || !waits.Sleep(ctx, 100*time.Millisecond) {
 				return fmt.Errorf("%s is not ready", address)
 			}
 		}
@@ -220,7 +221,7 @@
 				missing++
 			}
 		}
-		if missing == 0 || !time.Now().Before(deadline) || !sleep(ctx, pollInterval) {
+		if missing == 0 || !time.Now().Before(deadline) || !waits.Sleep(ctx, pollInterval) {
 			return statuses
 		}
 	}
@@ -268,13 +269,3 @@
 	row.ControlRate = control / float64(row.Complete)
 	return row
 }
-
-// sleep waits for the given time. It returns false if the context ends first.
-func sleep(ctx context.Context, pause time.Duration) bool {
-	select {
-	case <-time.After(pause):
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/lib/requests/claim_store.go
+++ b/lib/requests/claim_store.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"firford/lib/platform"
+	"firford/lib/waits"
 )
 
 const (
@@ -377,7 +378,7 @@
 		if result.err == nil {
 			return
 		}
-		sleep(ctx, backgroundRetryDelay)
+		waits.Sleep(ctx, backgroundRetryDelay)
 	}
 }
 
--- a/lib/requests/non_idempotent.go
+++ b/lib/requests/non_idempotent.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"firford/lib/platform"
+	"firford/lib/waits"
 )
 
 const (
@@ -176,7 +177,7 @@
 	if record.State == claimAnswered && record.Kept {
 		return replayAnswer(record, delivered)
 	}
-	sleep(ctx, resolveDelay<<(maxClaimChanges-changesLeft))
+	waits.Sleep(ctx, resolveDelay<<(maxClaimChanges-changesLeft))
 	state, peer, done, err := dispatcher.resolveClaim(ctx, record)
 	if err != nil {
 		return unavailableAnswer(record, err.Error())
@@ -195,13 +196,6 @@
 	}
 }
 
-func sleep(ctx context.Context, duration time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(duration):
-	}
-}
-
 // unavailableAnswer returns the outcome of a repeat whose answer can't be
 // obtained from the agent.
 func unavailableAnswer(record claimRecord, reason string) Outcome {
--- a/lib/rollouts/fake_fleet_test.go
+++ b/lib/rollouts/fake_fleet_test.go
@@ -22,6 +22,7 @@
 	"firford/lib/hosts"
 	"firford/lib/invariants"
 	"firford/lib/platform"
+	"firford/lib/waits"
 	"firford/lib/weights"
 )
 
@@ -264,7 +265,7 @@
 
 // FetchChunks implements ChunkSource.
 func (fleet *fleet) FetchChunks(ctx context.Context, _ weights.Manifest) error {
-	sleep(ctx, time.Second+fleet.callLatency)
+	waits.Sleep(ctx, time.Second+fleet.callLatency)
 	fleet.update(func() { fleet.evicted = false })
 	return ctx.Err()
 }
@@ -274,9 +275,7 @@
 	fleet.mutex.Lock()
 	pause, evicted := fleet.chunkPause, fleet.evicted
 	fleet.mutex.Unlock()
-	if pause > 0 {
-		sleep(ctx, pause)
-	}
+	waits.Sleep(ctx, pause)
 	if evicted {
 		<-ctx.Done()
 		return nil, ctx.Err()
--- a/lib/rollouts/load_attempt.go
+++ b/lib/rollouts/load_attempt.go
@@ -18,6 +18,7 @@
 
 	"firford/lib/configurations"
 	"firford/lib/invariants"
+	"firford/lib/waits"
 	"firford/lib/weights"
 )
 
@@ -103,7 +104,7 @@
 		if err == nil || errors.Is(err, ErrStaleToken) {
 			return err
 		}
-		sleep(ctx, callRetryDelay)
+		waits.Sleep(ctx, callRetryDelay)
 	}
 	return err
 }
@@ -158,7 +159,7 @@
 		if !errors.Is(err, errUnverified) {
 			return err
 		}
-		sleep(ctx, time.Second)
+		waits.Sleep(ctx, time.Second)
 		if ctx.Err() != nil {
 			return context.Cause(ctx)
 		}
@@ -189,7 +190,7 @@
 				return err
 			}
 		}
-		sleep(ctx, statusPollInterval)
+		waits.Sleep(ctx, statusPollInterval)
 	}
 	return errLoadTimedOut
 }
--- a/lib/rollouts/loader.go
+++ b/lib/rollouts/loader.go
@@ -26,6 +26,7 @@
 	"firford/lib/hosts"
 	"firford/lib/invariants"
 	"firford/lib/platform"
+	"firford/lib/waits"
 )
 
 const (
@@ -200,7 +201,7 @@
 	for ctx.Err() == nil {
 		snapshot, err := loader.dependencies.Configuration.Wait(ctx, revision)
 		if err != nil {
-			sleep(ctx, time.Second)
+			waits.Sleep(ctx, time.Second)
 			continue
 		}
 		revision = snapshot.Revision
--- a/lib/rollouts/prefetch.go
+++ b/lib/rollouts/prefetch.go
@@ -13,6 +13,7 @@
 
 	"firford/lib/configurations"
 	"firford/lib/platform"
+	"firford/lib/waits"
 	"firford/lib/weights"
 )
 
@@ -110,7 +111,7 @@
 		if ctx.Err() == nil {
 			prefetcher.logger.Warn("fetch of the version failed", zap.String("version", version.Name), zap.Error(err))
 		}
-		sleep(ctx, delay)
+		waits.Sleep(ctx, delay)
 		delay = min(delay*2, maxFetchDelay)
 	}
 }
@@ -132,16 +133,6 @@
 	return manifest, prefetcher.chunks.FetchChunks(ctx, manifest)
 }
 
-// sleep waits for the delay or until the context ends.
-func sleep(ctx context.Context, delay time.Duration) {
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // errChunkMissing is returned if a chunk was evicted after all chunks of its
 // version had been fetched.
 var errChunkMissing = errors.New("a chunk is no longer on this host")
--- a/lib/stagings/fetch.go
+++ b/lib/stagings/fetch.go
@@ -14,6 +14,8 @@
 
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
+
+	"firford/lib/waits"
 )
 
 const (
@@ -192,7 +194,7 @@
 			return false
 		}
 		if !target.AnnouncedAt.IsZero() {
-			sleep(ctx, time.Until(target.AnnouncedAt.Add(pieceTime*time.Duration(piece))))
+			waits.Sleep(ctx, time.Until(target.AnnouncedAt.Add(pieceTime*time.Duration(piece))))
 		}
 		node.fetchPiece(ctx, content, piece, node.planFor(target).Sources(piece), time.Now())
 	}
@@ -208,7 +210,7 @@
 func (node *Node) retryOwnPieces(ctx context.Context, content *content, target Target) {
 	for ctx.Err() == nil && node.isWanted(content) {
 		node.fetchAll(ctx, content, target, ownMissing(content, node.planFor(target)), time.Now().Add(pendingTimeout))
-		sleep(ctx, idleDelay)
+		waits.Sleep(ctx, idleDelay)
 	}
 }
 
@@ -230,7 +232,7 @@
 		plan := node.computePlan(target, node.probePeers(content))
 		available := plan.available(content.missing(), time.Since(began) > replaceReaderAfter)
 		if len(available) == 0 {
-			sleep(ctx, pullInterval)
+			waits.Sleep(ctx, pullInterval)
 			continue
 		}
 		node.fetchAll(ctx, content, target, available, time.Now().Add(pullInterval))
@@ -252,7 +254,7 @@
 func (node *Node) awaitPushes(ctx context.Context, content *content) {
 	missing := len(content.missing())
 	deadline := time.Now().Add(pushTimeLimit(content.manifest, node.LinkMbps, node.FleetView().OriginMbps))
-	for idleDeadline := time.Now().Add(pushIdleTimeout); missing > 0; sleep(ctx, idleDelay) {
+	for idleDeadline := time.Now().Add(pushIdleTimeout); missing > 0; waits.Sleep(ctx, idleDelay) {
 		now := time.Now()
 		if ctx.Err() != nil || now.After(idleDeadline) || now.After(deadline) || !node.isWanted(content) {
 			return
@@ -382,7 +384,7 @@
 			// No other agent reads this piece from the origin, so the read is retried.
 			node.Logger.Info("origin did not answer", zap.Int("piece", piece), zap.Bool("spoilt", err == nil), zap.Error(err))
 			if err != nil {
-				sleep(ctx, originRetryDelay)
+				waits.Sleep(ctx, originRetryDelay)
 			}
 			return true
 		case err != nil && !source.Origin && !errors.Is(err, errPending):
--- a/lib/stagings/metrics.go
+++ b/lib/stagings/metrics.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/uber-go/tally/v4"
+
+	"firford/lib/waits"
 )
 
 // metricsInterval is the time between two updates of the gauges. It equals the
@@ -24,7 +26,7 @@
 
 // updateMetrics updates the gauges of versions and pieces until the context ends.
 func (node *Node) updateMetrics(ctx context.Context) {
-	for ; ctx.Err() == nil; sleep(ctx, metricsInterval) {
+	for ; ctx.Err() == nil; waits.Sleep(ctx, metricsInterval) {
 		if targets := node.FleetView().Targets; len(targets) > 0 {
 			node.updateVersionMetrics(targets[len(targets)-1])
 		}
--- a/lib/stagings/node.go
+++ b/lib/stagings/node.go
@@ -14,6 +14,7 @@
 	"golang.org/x/time/rate"
 
 	"firford/lib/hosts"
+	"firford/lib/waits"
 )
 
 const (
@@ -184,21 +185,11 @@
 func repeat(ctx context.Context, step func(context.Context) bool) {
 	for ctx.Err() == nil {
 		if !step(ctx) {
-			sleep(ctx, idleDelay)
+			waits.Sleep(ctx, idleDelay)
 		}
 	}
 }
 
-func sleep(ctx context.Context, duration time.Duration) {
-	if duration <= 0 {
-		return
-	}
-	select {
-	case <-ctx.Done():
-	case <-time.After(duration):
-	}
-}
-
 // pollStatus polls the engine's status until the context ends. It logs only the
 // first of several failures in a row.
 func (node *Node) pollStatus(ctx context.Context) {
@@ -216,7 +207,7 @@
 			lost = true
 			node.Logger.Warn("engine lost", zap.Error(err))
 		}
-		sleep(ctx, statusInterval)
+		waits.Sleep(ctx, statusInterval)
 	}
 }
 
--- a/lib/stagings/restore.go
+++ b/lib/stagings/restore.go
@@ -15,6 +15,7 @@
 
 	"firford/lib/hosts"
 	"firford/lib/platform"
+	"firford/lib/waits"
 )
 
 const (
@@ -34,7 +35,7 @@
 		if rank >= manifestKeepers {
 			continue
 		}
-		sleep(ctx, time.Duration(rank)*manifestTurn+rand.N(manifestTurn/2))
+		waits.Sleep(ctx, time.Duration(rank)*manifestTurn+rand.N(manifestTurn/2))
 		node.restoreManifest(ctx, manifest)
 	}
 }
@@ -82,7 +83,7 @@
 		case errors.Is(err, platform.ErrNotFound):
 			node.saveManifest(ctx, manifest)
 		default:
-			sleep(ctx, manifestTurn/2+rand.N(manifestTurn))
+			waits.Sleep(ctx, manifestTurn/2+rand.N(manifestTurn))
 		}
 		if ctx.Err() != nil {
 			return
--- a/lib/stagings/start.go
+++ b/lib/stagings/start.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"firford/lib/hosts"
+	"firford/lib/waits"
 )
 
 const (
@@ -90,7 +91,7 @@
 	node.countOrder(err)
 	if err != nil {
 		// The engine may still carry out an order whose answer was lost.
-		sleep(ctx, unansweredOrderWait)
+		waits.Sleep(ctx, unansweredOrderWait)
 		return false
 	}
 	release()
@@ -101,7 +102,7 @@
 // drain waits up to drainTimeout for the engine's requests to end and returns how
 // many are left. Entries send it no new requests meanwhile.
 func (node *Node) drain(ctx context.Context) int {
-	for until := time.Now().Add(drainTimeout); ; sleep(ctx, statusInterval/2) {
+	for until := time.Now().Add(drainTimeout); ; waits.Sleep(ctx, statusInterval/2) {
 		status, _ := node.latestStatus()
 		running := status.Running + status.Queued
 		if running == 0 || time.Now().After(until) || ctx.Err() != nil {
@@ -139,7 +140,7 @@
 		if status.StartedUnixMilli != startedUnixMilli || !status.Busy && status.Versions[target.Model] == target.Version {
 			break
 		}
-		sleep(ctx, statusInterval/2)
+		waits.Sleep(ctx, statusInterval/2)
 	}
 	status, _ := node.latestStatus()
 	node.Logger.Info("order ended", zap.Int("version", target.Version), zap.Any("versions", status.Versions),
