Leave the takeover timer alone where no server may take over

For a request that may not be sent again the timer was set to a time long past after each event, which woke the request once more for nothing. go test -count=1 ./lib/gateways passes.

--- a/lib/gateways/takeover.go
+++ b/lib/gateways/takeover.go
@@ -118,7 +118,9 @@
 			relay.end(other, superseded{wasSent: !other.sentAt.IsZero(), wasSilent: other.sentAt.Before(current.sentAt)})
 		}
 	}
-	relay.timer.Reset(time.Until(current.silentAt))
+	if !current.silentAt.IsZero() {
+		relay.timer.Reset(time.Until(current.silentAt))
+	}
 }
 
 // end ends one attempt.
