Measure how fast entries hear of leaving and crashed servers

Cause: the time until all entries have heard what a server stated to one of them, and what the datagrams for it cost, were not measured at the size of the larger site, and the cost of the full size was not worked out.

Ruled out: a simulation of the datagrams, as it would measure a second version of lib/loads; the processes of `bench fleet`, which speak the product's own interface and have no load reports.

`make bench_hearing` runs it.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 GO_FILES = $$(git ls-files --cached --others --exclude-standard '*.go' | grep -v '\.pb\.go$$')
 
 # No job is named after a file that it makes.
-.PHONY: help build demo soak soak_routed bench_emulation bench_burst compare_bursts bench_requests bench_config bench_control test format format-check lint vet unit race clean
+.PHONY: help build demo soak soak_routed bench_emulation bench_burst compare_bursts bench_requests bench_config bench_control bench_hearing test format format-check lint vet unit race clean
 
 help: ## List the jobs
 	@grep -E '^[a-z_-]+:.*##' Makefile | sed 's/:.*##/:/'
@@ -61,5 +61,8 @@
 bench_control: build ## What idle entries and agents cost, by their numbers: SIZES
 	@scripts/bench_control.sh
 
+bench_hearing: build ## Time until all entries hear of a leaving or crashed server, and what the datagrams cost
+	@$(BIN)/bench hearing --out $(OUT)
+
 clean: ## Remove everything that the build made
 	@rm -rf $(OUT)
--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -19,6 +19,7 @@
 	"firford/cmd/bench/emulation"
 	"firford/cmd/bench/fetch"
 	"firford/cmd/bench/fleet"
+	"firford/cmd/bench/hearing"
 	"firford/cmd/bench/operations"
 	"firford/cmd/bench/overhead"
 	"firford/cmd/bench/prepare"
@@ -49,6 +50,7 @@
 		Overhead       *overhead.Command       `arg:"subcommand:overhead" help:"compare the path through an entry and an agent with calling the backend server"`
 		ControlMeasure *control.MeasureCommand `arg:"subcommand:control-measure" help:"measure what an idle fleet's processes cost"`
 		ControlSummary *control.SummaryCommand `arg:"subcommand:control-summary" help:"fit the costs of several sizes"`
+		Hearing        *hearing.Command        `arg:"subcommand:hearing" help:"measure how fast all entries hear of a leaving or crashed server, and what the datagrams cost"`
 		Fetch          *fetch.Command          `arg:"subcommand:fetch" help:"send an HTTP request and print the answer"`
 		Leaving        *fetch.LeavingCommand   `arg:"subcommand:leaving" help:"tell the platform that a host is leaving"`
 	}
