State why skipped answers are not read for statements

Cause: readAnswer skips answers with another request's id, and nothing said whether a leaving, Retry-After or limit in them should count.

Ruled out: recording them. A foreign id doesn't show who wrote the answer, the statement would be attributed to the server of this attempt and its present start, and a late answer would date an old statement as of now.

Change: the doc comment of readAnswer gives the reason; no behaviour changes.

--- a/lib/gateways/connections.go
+++ b/lib/gateways/connections.go
@@ -195,7 +195,9 @@
 // readAnswer reads the head of the answer to the request with the id. Answers with
 // another id belong to earlier requests on this connection and are skipped. An
 // answer without an id is accepted only on a new connection, which carried no
-// earlier request.
+// earlier request. What a skipped answer states about its server is not recorded:
+// nothing in it shows that this server, as started now, wrote it, and it may be older
+// than what the server has stated since.
 func (conn *connection) readAnswer(dialect Dialect, method, id string) (*http.Response, ResponseInfo, error) {
 	headBytesLeft := maxHeadBytes
 	for range maxStaleAnswers {
