Bound crash records by bytes, so that they fit a datagram

Found by a measurement: with ids of prompt parts of 64 bytes, four records made a report of 8,836 bytes, more than a datagram's 8,192, and while they were repeated all reports and subscriptions of a process could be lost. Records now take half of a datagram at most, the newest first.

go test -count=1 -run TestCrashRecordsFitADatagram ./lib/loads fails without the bound

--- a/lib/loads/crashes.go
+++ b/lib/loads/crashes.go
@@ -4,11 +4,21 @@
 // the agents, which pass those of all entries on.
 
 import (
+	"slices"
 	"time"
 
 	"firford/lib/quarantines"
 )
 
+const (
+	// maxCrashBytes bounds the records of crashes in a datagram to half of its size.
+	maxCrashBytes = maxDatagramBytes / 2
+	// crashOverheadBytes and partOverheadBytes are at least what the encoding adds to the
+	// texts of a record and of a part.
+	crashOverheadBytes = 64
+	partOverheadBytes  = 16
+)
+
 type (
 	// crashes are quarantines.Records in a datagram. They have ages instead of times, since
 	// the clocks of two hosts differ.
@@ -30,16 +40,28 @@
 	}
 )
 
-// encodeCrashes returns nil if there is nothing to send.
+// encodeCrashes returns nil if there is nothing to send. Of more records than fit, it
+// takes the newest.
 func encodeCrashes(records quarantines.Records, now time.Time) *crashes {
 	if records.IsEmpty() {
 		return nil
 	}
 	encoded := &crashes{}
-	for _, each := range records.Crashes() {
+	bytesLeft := maxCrashBytes
+	for _, each := range slices.Backward(records.Crashes()) {
+		bytesLeft -= crashOverheadBytes + len(each.Server)
+		for _, part := range each.Parts {
+			bytesLeft -= partOverheadBytes + len(part)
+		}
+		if bytesLeft < 0 {
+			break
+		}
 		encoded.Crashes = append(encoded.Crashes, crash{Server: each.Server, AgeMS: now.Sub(each.At).Milliseconds(), Parts: each.Parts})
 	}
 	for _, answer := range records.Answers() {
+		if bytesLeft -= partOverheadBytes + len(answer.Part); bytesLeft < 0 {
+			break
+		}
 		if encoded.SoundMS == nil {
 			encoded.SoundMS = map[string]int64{}
 		}
--- a/lib/loads/loads_test.go
+++ b/lib/loads/loads_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"fmt"
 	"net"
 	"net/netip"
 	"testing"
@@ -241,3 +243,41 @@
 		})
 	})
 }
+
+// Guards against crash records that overflow a datagram, with which all reports and
+// subscriptions would be lost while the records are repeated.
+func TestCrashRecordsFitADatagram(t *testing.T) {
+	convey.Convey("Given crashes with many parts that have long ids", t, func() {
+		now := time.Now()
+		records := quarantines.Records{}
+		for i := range 10 {
+			crash := quarantines.Crash{Server: fmt.Sprintf("i-%010d", i), At: now.Add(time.Duration(i-10) * 10 * time.Millisecond)}
+			for part := range 64 {
+				crash.Parts = append(crash.Parts, fmt.Sprintf("%02x%062x", i, part))
+			}
+			records, _ = records.With(crash, now)
+		}
+		for i := range 48 {
+			records, _ = records.WithAnswer(quarantines.Answer{Part: fmt.Sprintf("%064x", i), BeganAt: now}, now)
+		}
+		encoded, err := json.Marshal(message{Crashes: encodeCrashes(records, now)})
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(len(encoded), convey.ShouldBeLessThanOrEqualTo, maxDatagramBytes/2)
+		decoded := decodeCrashes(encodeCrashes(records, now), now)
+		convey.So(decoded.IsEmpty(), convey.ShouldBeTrue)
+	})
+	convey.Convey("Given crashes of which only some fit, the newest are sent", t, func() {
+		now := time.Now()
+		records := quarantines.Records{}
+		for i := range 10 {
+			crash := quarantines.Crash{Server: fmt.Sprint(i), At: now.Add(time.Duration(i-10) * 10 * time.Millisecond)}
+			for part := range 32 {
+				crash.Parts = append(crash.Parts, fmt.Sprintf("%016x", part))
+			}
+			records, _ = records.With(crash, now)
+		}
+		decoded := decodeCrashes(encodeCrashes(records, now), now).Crashes()
+		convey.So(len(decoded), convey.ShouldBeBetween, 2, 10)
+		convey.So(decoded[len(decoded)-1].Server, convey.ShouldEqual, "9")
+	})
+}
