Keep parts that prompts share out of quarantine while no server answers

Cause: the part that all prompts have was quarantined. While no server answers, nothing shows that it is sound, and it is in every crash, also in those that the bad part did not cause, so it explained the most. Entries that had just started knew no sound part at all.

Parts with which no answer ever began are blamed first, others only from eight crashes on, and a part that more than four in five requests have is never blamed. Entries tell each other which parts of recent crashes are sound, however long ago that was seen. The first probe comes after 20 s instead of a minute, so that parts that can't be told from the bad one are refused for a shorter time.

--- a/lib/gateways/gateway.go
+++ b/lib/gateways/gateway.go
@@ -225,6 +225,7 @@
 	ctx, cancel := context.WithDeadline(request.received.Context(), request.deadline.Add(answerMargin))
 	defer cancel()
 	request.gateway.Queue.countRequest(request.service)
+	request.gateway.Quarantines.CountRequest(request.info.SharedParts)
 	if verdict := request.checkQuarantine(); verdict.IsRefused() {
 		request.refuse(reasonQuarantined, time.Until(verdict.RetryAt))
 		return
--- a/lib/quarantines/assess.go
+++ b/lib/quarantines/assess.go
@@ -3,6 +3,7 @@
 // This file finds the parts that explain crashes.
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -12,6 +13,10 @@
 	// minRepeatCrashes the number after which a request with it is not sent again.
 	minCrashes       = 3
 	minRepeatCrashes = 2
+	// minSoundCrashes is the number of crashes after which a part may be blamed with which
+	// answers have begun before. While no server answers, such parts can't show that they
+	// are still sound, and a part that most prompts share is in every crash.
+	minSoundCrashes = 8
 	// simultaneousTime is the time within which crashes count as one: a fault of the
 	// platform takes several servers at once, and cuts off requests with any part.
 	simultaneousTime = 30 * time.Millisecond
@@ -36,17 +41,29 @@
 	return last.Add(probeInterval << min(probes, maxProbeDoublings))
 }
 
-// assess returns what speaks against each part, given which parts are sound. The part with
-// the most crashes is blamed for all of them, then the one with the most of the rest, and
-// so on: requests that were cut off with the bad ones are not held against their own
-// parts. Among equals, the part with the fewest answers is blamed.
-func assess(crashes []Crash, known func(part string) soundness) map[string]blame {
+// assess returns what speaks against each part, given which parts are known to be sound
+// and which ones nearly all requests have. The latter are never blamed: they are in nearly every
+// crash, whatever its cause, and without them nothing would be left to serve.
+// The part with the most crashes is blamed for all of them, then the one with the most of
+// the rest, and so on: requests that were cut off with the bad ones are not held against
+// their own parts. Parts with which no answer ever began are blamed first, and among
+// equals the part with the fewest answers.
+func assess(crashes []Crash, known func(part string) soundness, isCommon func(part string) bool) map[string]blame {
 	blamed := map[string]blame{}
+	rest := cover(crashes, blamed, minRepeatCrashes, known, func(part string) bool { return known(part).answers == 0 && !isCommon(part) })
+	cover(rest, blamed, minSoundCrashes, known, func(part string) bool { return !isCommon(part) })
+	return blamed
+}
+
+// cover blames the parts that may be blamed and are in enough crashes, and returns the
+// crashes that they don't explain.
+func cover(crashes []Crash, blamed map[string]blame, minimum int, known func(part string) soundness, mayBlame func(part string) bool) []Crash {
 	for remaining := crashes; ; {
 		suspects := suspectedParts(remaining, known)
+		maps.DeleteFunc(suspects, func(part string, suspect blame) bool { return len(suspect.moments) < minimum || !mayBlame(part) })
 		worst := worstParts(suspects, known)
 		if len(worst) == 0 {
-			return blamed
+			return remaining
 		}
 		for _, part := range worst {
 			blamed[part] = suspects[part]
@@ -75,21 +92,18 @@
 	return suspects
 }
 
-// worstParts returns the parts with the most crashes, if those are enough to count, and
-// among these the ones with the fewest answers.
+// worstParts returns the parts with the most crashes, and among these the ones with the
+// fewest answers.
 func worstParts(suspects map[string]blame, known func(part string) soundness) []string {
-	most := minRepeatCrashes
+	most := 0
 	for _, suspect := range suspects {
 		most = max(most, len(suspect.moments))
 	}
 	var worst []string
 	fewest := 0
 	for part, suspect := range suspects {
-		if len(suspect.moments) < most {
-			continue
-		}
 		answers := known(part).answers
-		if len(worst) > 0 && answers > fewest {
+		if len(suspect.moments) < most || len(worst) > 0 && answers > fewest {
 			continue
 		}
 		if len(worst) > 0 && answers < fewest {
--- a/lib/quarantines/quarantines.go
+++ b/lib/quarantines/quarantines.go
@@ -33,7 +33,7 @@
 	// probeInterval is the time from the last crash under a part until a single request
 	// with it is let through. It doubles with each such request that crashed a server, up
 	// to maxProbeDoublings times.
-	probeInterval     = time.Minute
+	probeInterval     = 20 * time.Second
 	maxProbeDoublings = 4
 	// probeTimeout is how long further requests wait for the outcome of a probe.
 	probeTimeout = 10 * time.Second
@@ -44,6 +44,12 @@
 	maxProbeSpread = 20 * time.Second
 	// assumedEntries is the number of entries that is assumed until an agent tells it.
 	assumedEntries = 16
+	// countedRequests is the number of recent requests from which the share of requests with
+	// a part is taken.
+	countedRequests = 512
+	// commonShare is the share of requests above which a part is in nearly all of them. It
+	// exceeds the share that requests with a bad part reach, even if they come in masses.
+	commonShare = 0.8
 	// maxSoundParts bounds the parts that are remembered as sound, and maxUnproven the
 	// answers whose servers may still crash.
 	maxSoundParts = 8192
@@ -78,7 +84,10 @@
 		// recent and former hold the parts that are sound. Once half of maxSoundParts are
 		// recent, they become the former ones.
 		recent, former map[string]soundness
-		blamed         map[string]blame
+		// requests and requestsWith count recent requests, and those with each part.
+		requests     int
+		requestsWith map[string]int
+		blamed       map[string]blame
 		// probes holds until when this entry awaits the outcome of a probe.
 		probes map[string]time.Time
 		// position is the place of this entry among count entries.
@@ -106,7 +115,7 @@
 func New() *Ledger {
 	return &Ledger{
 		recent: map[string]soundness{}, former: map[string]soundness{},
-		blamed: map[string]blame{}, probes: map[string]time.Time{},
+		blamed: map[string]blame{}, probes: map[string]time.Time{}, requestsWith: map[string]int{},
 		position: assumedEntries - 1, count: assumedEntries,
 	}
 }
@@ -121,6 +130,36 @@
 	ledger.position, ledger.count = position, count
 }
 
+// CountRequest counts a request with the parts that a caller sent.
+func (ledger *Ledger) CountRequest(parts []string) {
+	if len(parts) == 0 {
+		return
+	}
+	ledger.mutex.Lock()
+	defer ledger.mutex.Unlock()
+	if ledger.requests >= countedRequests {
+		ledger.halveCounts()
+	}
+	ledger.requests++
+	for _, part := range parts {
+		ledger.requestsWith[part]++
+	}
+}
+
+// halveCounts makes older requests count less. The caller holds the mutex.
+func (ledger *Ledger) halveCounts() {
+	ledger.requests /= 2
+	for part, count := range ledger.requestsWith {
+		ledger.requestsWith[part] = count / 2
+	}
+	maps.DeleteFunc(ledger.requestsWith, func(_ string, count int) bool { return count == 0 })
+}
+
+// isCommon reports whether nearly all requests have the part. The caller holds the mutex.
+func (ledger *Ledger) isCommon(part string) bool {
+	return float64(ledger.requestsWith[part]) > commonShare*float64(ledger.requests)
+}
+
 // RecordAnswer records that the server began to answer a request with the parts. It
 // counts once the server has survived that for CrashTime. It returns the parts whose
 // quarantine has ended.
@@ -226,16 +265,17 @@
 	return changes
 }
 
-// Own returns the newest crashes that this entry recorded, and since when the parts of any
-// crash are known to be sound, for the other entries.
+// Own returns the newest crashes, and which of their parts are known to be sound, for the
+// other entries. An entry that has just started knows no sound part itself.
 func (ledger *Ledger) Own(now time.Time) Records {
 	ledger.mutex.Lock()
 	defer ledger.mutex.Unlock()
 	own := ledger.own
-	for _, crash := range ledger.all.crashes {
+	for _, crash := range ledger.all.since(now.Add(-sharedTime), maxSharedCrashes) {
+		own, _ = own.With(crash, now)
 		for _, part := range crash.Parts {
-			if beganAt := ledger.soundness(part).lastBeganAt; now.Sub(beganAt) < sharedTime {
-				own, _ = own.WithAnswer(Answer{Part: part, BeganAt: beganAt}, now)
+			if known := ledger.soundness(part); known.answers > 0 {
+				own, _ = own.WithAnswer(Answer{Part: part, BeganAt: known.lastBeganAt}, now)
 			}
 		}
 	}
@@ -267,7 +307,7 @@
 func (ledger *Ledger) reassess(now time.Time) []Change {
 	ledger.all = ledger.all.withoutOld(now)
 	before := ledger.blamed
-	ledger.blamed = assess(ledger.all.crashes, ledger.knownSoundness())
+	ledger.blamed = assess(ledger.all.crashes, ledger.knownSoundness(), ledger.isCommon)
 	var changes []Change
 	for _, part := range slices.Sorted(maps.Keys(ledger.blamed)) {
 		next := ledger.blamed[part]
--- a/lib/quarantines/records.go
+++ b/lib/quarantines/records.go
@@ -112,11 +112,14 @@
 	return records, isChanged
 }
 
-// Recent returns the newest records that are to be repeated.
+// Recent returns the newest crashes, which are to be repeated, and the answers with their
+// parts.
 func (records Records) Recent(now time.Time) Records {
-	from := now.Add(-sharedTime)
-	answers := slices.DeleteFunc(slices.Clone(records.answers), func(answer Answer) bool { return !answer.BeganAt.After(from) })
-	return Records{crashes: records.since(from, maxSharedCrashes), answers: answers[max(0, len(answers)-maxSharedAnswers):]}
+	crashes := records.since(now.Add(-sharedTime), maxSharedCrashes)
+	answers := slices.DeleteFunc(slices.Clone(records.answers), func(answer Answer) bool {
+		return !slices.ContainsFunc(crashes, func(crash Crash) bool { return slices.Contains(crash.Parts, answer.Part) })
+	})
+	return Records{crashes: crashes, answers: answers[max(0, len(answers)-maxSharedAnswers):]}
 }
 
 // IsEmpty reports whether there are no records.
