--- a/lib/gateways/request_log.go
+++ b/lib/gateways/request_log.go
@@ -101,8 +101,11 @@
 	if request.predictedDelay > 0 {
 		fields = append(fields, zap.Duration("predicted", request.predictedDelay))
 	}
-	if event == eventAnswerLost && len(request.info.SharedParts) > 0 {
-		fields = append(fields, zap.Strings("prompt_parts", request.info.SharedParts))
+	if event == eventAnswerLost {
+		fields = append(fields, zap.Stringer("fingerprint", request.fingerprint()))
+		if len(request.info.SharedParts) > 0 {
+			fields = append(fields, zap.Strings("prompt_parts", request.info.SharedParts))
+		}
 	}
 	if request.usesUnlistedServer {
 		fields = append(fields, zap.Bool("unlisted", true))
