--- a/lib/gateways/crashing_parts_test.go
+++ b/lib/gateways/crashing_parts_test.go
@@ -27,12 +27,12 @@
 	}
 }
 
-// unlistCrashed removes the servers that a request with the bad part reached from the list.
+// unlistCrashed removes the servers that a crashing request reached from the list.
 func (fixture *gatewayFixture) unlistCrashed(servers []*scriptedServer) {
 	var list []placements.Server
 	for i, server := range servers {
 		isCrashed := slices.ContainsFunc(server.requests(), func(received *http.Request) bool {
-			return strings.Contains(received.Header.Get("Parts"), "bad")
+			return strings.Contains(received.Header.Get("Parts"), "bad") || received.Header.Get("Crash") != ""
 		})
 		if !isCrashed {
 			list = append(list, placements.Server{ID: strconv.Itoa(i), Service: "desk", Address: server.address, DataCentre: "nairobi", Slots: 16})
@@ -84,6 +84,49 @@
 	})
 }
 
+// Guards against a request that crashes each server that runs it and comes again under
+// other ids: each time it was sent to one or two servers more.
+func TestRequestThatCrashesServersStopsReachingThem(t *testing.T) {
+	// crashes is after how many crashes the request has to be known, and repeats how often
+	// it comes.
+	const servers, crashes, repeats = 12, 3, 12
+	for _, path := range []string{"/again/", "/once/", "/events/"} {
+		convey.Convey("Given a request on "+path+" that crashes servers each time it comes", t, func() {
+			var fleet []*scriptedServer
+			sound := answer(http.StatusOK, "Signed: yes\r\n", "text")
+			for range servers {
+				fleet = append(fleet, newScriptedServer(t, func(conn net.Conn, received *http.Request) bool {
+					return received.Header.Get("Crash") == "" && sound(conn, received)
+				}))
+			}
+			fixture := newGatewayFixture(t, 4, fleet...)
+			for i := range repeats {
+				// Crashes at the same instant have a common cause outside of the requests.
+				time.Sleep(50 * time.Millisecond)
+				status, header, _, _ := fixture.post(t, path, "bad", "Id", "bad-"+strconv.Itoa(i), "Crash", "yes")
+				convey.So(status, convey.ShouldBeIn, http.StatusBadGateway, http.StatusServiceUnavailable)
+				if status == http.StatusServiceUnavailable {
+					convey.So(header.Get("Retry-After"), convey.ShouldNotBeEmpty)
+				}
+				fixture.unlistCrashed(fleet)
+				id := "sound-" + strconv.Itoa(i)
+				status, _, _, err := fixture.post(t, "/again/", id, "Id", id)
+				convey.So(err, convey.ShouldBeNil)
+				convey.So(status, convey.ShouldEqual, http.StatusOK)
+			}
+			crashed := 0
+			for _, server := range fleet {
+				for _, received := range server.requests() {
+					if received.Header.Get("Crash") != "" {
+						crashed++
+					}
+				}
+			}
+			convey.So(crashed, convey.ShouldBeLessThanOrEqualTo, crashes)
+		})
+	}
+}
+
 // Guards against a request with a quarantined part that is sent although it has waited
 // since before the quarantine, and against one that may have run and is refused as not run.
 func TestQuarantineHoldsUntilRequestIsSent(t *testing.T) {
