Tell entries that start which requests crash servers

Entries and agents repeat a record of a crash for four seconds. An entry that starts later, or was cut off, knew of no quarantine and learned each again by three crashes: with five entries that are restarted in turn, 15 sends after the third crash where the rule allows three.

Cause: what is known was shared as news only. Ruled out: repeating the records of quarantines in each report, which costs entries times agents for as long as a quarantine lasts; the store, whose writes cost all and which may be away.

Change: agents keep the records for an hour as entries do. A subscription to an agent that was not heard for 2 s asks for them, and the agent answers with the crashes that quarantines come from, without what else they cut off. An entry asks before it uses the first servers, and waits up to 60 ms.

--- a/cmd/bench/hearing/fleet.go
+++ b/cmd/bench/hearing/fleet.go
@@ -82,6 +82,9 @@
 	return entry.crashes.Recent(now)
 }
 
+// Hear ignores what agents answer to an entry that has heard nothing of them before.
+func (*entry) Hear(quarantines.Records) {}
+
 // startFleet starts the entries and agents and waits until each agent knows each entry.
 func startFleet(ctx context.Context, size fleetSize, loss float64, seed uint64) (*fleet, error) {
 	started := &fleet{hearing: newHearing(), random: newRandom(seed, 0)}
--- a/cmd/entry/routed/recovery_test.go
+++ b/cmd/entry/routed/recovery_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/netip"
 	"sync"
 	"testing"
@@ -15,10 +16,12 @@
 
 	"firford/lib/directives"
 	"firford/lib/gateways"
+	"firford/lib/loads"
 	"firford/lib/metrics"
 	"firford/lib/placements"
 	"firford/lib/platform"
 	"firford/lib/processes"
+	"firford/lib/quarantines"
 	"firford/lib/routes"
 )
 
@@ -116,6 +119,11 @@
 	}
 }
 
+// unansweredConn is a connection over which all datagrams are lost.
+type unansweredConn struct{ net.PacketConn }
+
+func (unansweredConn) WriteTo(datagram []byte, _ net.Addr) (int, error) { return len(datagram), nil }
+
 // newTestEntry returns an entry that follows the servers of the feed and has no
 // connections.
 func newTestEntry(feed tableStore) *entry {
@@ -127,6 +135,9 @@
 		follower:     directives.New(directives.Dependencies{Logger: zap.NewNop(), Scope: tally.NoopScope}),
 	}
 	entry.agents.Store(&[]netip.AddrPort{})
+	entry.quarantines = quarantines.New()
+	entry.loadListener = loads.NewListener(
+		unansweredConn{}, func() []netip.AddrPort { return *entry.agents.Load() }, entry.follower, entry.queue, crashLedger{entry: entry}, entry.applyReport, zap.NewNop())
 	entry.gateway = gateways.New(gateways.Dependencies{
 		Queue: entry.queue, Table: func() routes.Table { return routes.Table{} }, Logger: zap.NewNop(), Scope: tally.NoopScope,
 	})
--- a/cmd/entry/routed/routed.go
+++ b/cmd/entry/routed/routed.go
@@ -50,6 +50,9 @@
 	// storeRestorePause spreads the reads of all tables by all entries after the store came
 	// back from an older copy.
 	storeRestorePause = 1500 * time.Millisecond
+	// firstReportTimeout is how long an entry that starts waits for what agents know before
+	// it uses servers. An agent that lives answers within two delays of the network.
+	firstReportTimeout = 60 * time.Millisecond
 	// versionMargin is how long before its due time a version is required. A request
 	// may need that long to cross a link that is filled with pieces of weights and to
 	// wait at the engine.
@@ -153,7 +156,7 @@
 		return fmt.Errorf("listen for reports: %w", err)
 	}
 	entry.loadListener = loads.NewListener(
-		reports, func() []netip.AddrPort { return *entry.agents.Load() }, entry.follower, entry.queue, entry.quarantines, entry.applyReport, entry.logger)
+		reports, func() []netip.AddrPort { return *entry.agents.Load() }, entry.follower, entry.queue, crashLedger{entry: entry}, entry.applyReport, entry.logger)
 	group, runCtx := errgroup.WithContext(runCtx)
 	group.Go(func() error { return entry.gateway.Serve(callers) })
 	group.Go(func() error { return entry.serveProbes(runCtx, entry.settings.AdminAddress) })
@@ -250,12 +253,6 @@
 func (entry *entry) applyServerList(view platform.View) {
 	servers, decodeErrors := adapter.DecodeServers(view.Rows)
 	view.LogDecodeErrors(entry.logger, decodeErrors)
-	var changes []placements.Change
-	entry.queue.UpdateFleet(func(fleet *placements.Fleet, now time.Time) {
-		fleet.SetRestoredAt(view.RestoredAt)
-		changes = fleet.UpdateServers(servers, entry.keepMissingUntil(view), now)
-	})
-	entry.logServerChanges(changes)
 	known := map[string]bool{}
 	var agents []netip.AddrPort
 	for _, server := range servers {
@@ -266,11 +263,27 @@
 		agents = append(agents, server.AgentAddress(entry.settings.PeerPort))
 	}
 	entry.agents.Store(&agents)
+	if !entry.serversListed.Load() {
+		entry.hearQuarantines()
+	}
+	var changes []placements.Change
+	entry.queue.UpdateFleet(func(fleet *placements.Fleet, now time.Time) {
+		fleet.SetRestoredAt(view.RestoredAt)
+		changes = fleet.UpdateServers(servers, entry.keepMissingUntil(view), now)
+	})
+	entry.logServerChanges(changes)
 	entry.gateway.PruneConnections(known)
 	entry.serversListed.Store(true)
 	entry.logger.Debug("servers listed", zap.Int("servers", len(servers)), zap.Int64("revision", view.Revision))
 }
 
+// hearQuarantines asks the agents which requests crash servers, before the first request
+// is sent to one.
+func (entry *entry) hearQuarantines() {
+	entry.loadListener.Announce()
+	entry.loadListener.AwaitAgent(context.Background(), firstReportTimeout)
+}
+
 // keepMissingUntil returns until when servers that are missing from the view stay in
 // use. The process cannot tell an outage of the store, in which servers lose their
 // entries, from a partition of its own, behind which they have left. The time counts
@@ -335,6 +348,19 @@
 	}
 }
 
+// crashLedger passes what agents know about crashes on to the quarantines.
+type crashLedger struct{ entry *entry }
+
+// Own implements loads.CrashLedger.
+func (crashes crashLedger) Own(now time.Time) quarantines.Records {
+	return crashes.entry.quarantines.Own(now)
+}
+
+// Hear implements loads.CrashLedger.
+func (crashes crashLedger) Hear(records quarantines.Records) {
+	crashes.entry.gateway.LogQuarantines(crashes.entry.quarantines.Merge(records, time.Now()))
+}
+
 // agentFor returns the agent that passes on what the server stated: the one beside it,
 // or any other for a server that has none.
 func (entry *entry) agentFor(server placements.Server) (netip.AddrPort, bool) {
@@ -372,7 +398,7 @@
 	var changes []placements.StatementChange
 	entry.queue.UpdateFleet(func(fleet *placements.Fleet, now time.Time) { changes = fleet.ApplyReport(report, now) })
 	entry.quarantines.SetEntries(report.Entries.Position, report.Entries.Count)
-	entry.gateway.LogQuarantines(entry.quarantines.Merge(report.Crashes, time.Now()))
+	crashLedger{entry: entry}.Hear(report.Crashes)
 	for _, change := range changes {
 		entry.logStatementChange(change)
 	}
--- a/lib/loads/crashes.go
+++ b/lib/loads/crashes.go
@@ -37,9 +37,11 @@
 		Requests []uint64 `json:"requests,omitempty"`
 	}
 
-	// CrashSource provides what this entry has recorded about crashes.
-	CrashSource interface {
+	// CrashLedger holds what this entry knows about crashes. Own returns what the other
+	// entries should know, and Hear records what they knew while this entry did not hear them.
+	CrashLedger interface {
 		Own(now time.Time) quarantines.Records
+		Hear(records quarantines.Records)
 	}
 )
 
--- a/lib/loads/listener.go
+++ b/lib/loads/listener.go
@@ -5,8 +5,11 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/netip"
+	"slices"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -16,7 +19,12 @@
 	"firford/lib/quarantines"
 )
 
-const subscribeInterval = time.Second
+const (
+	subscribeInterval = time.Second
+	// silentTime is how long an agent may say nothing until the entry may have missed
+	// records of crashes, which agents repeat for longer.
+	silentTime = 2 * time.Second
+)
 
 type (
 	// AnnouncementSource provides what an entry knows of the operator's table. Only
@@ -39,19 +47,24 @@
 		agents     func() []netip.AddrPort
 		source     AnnouncementSource
 		statements StatementSource
-		crashes    CrashSource
+		crashes    CrashLedger
 		onReport   func(placements.Report)
 		logger     *zap.Logger
+
+		mutex sync.Mutex
+		// heardAt is when each agent was last heard. hasHeard is closed once one was heard.
+		heardAt  map[netip.AddrPort]time.Time
+		hasHeard chan struct{}
 	}
 )
 
 // NewListener returns a listener that subscribes at the agents, sends them the
 // announcements, statements and crashes of the sources and passes their reports to onReport.
 func NewListener(
-	conn net.PacketConn, agents func() []netip.AddrPort, source AnnouncementSource, statements StatementSource, crashes CrashSource,
+	conn net.PacketConn, agents func() []netip.AddrPort, source AnnouncementSource, statements StatementSource, crashes CrashLedger,
 	onReport func(placements.Report), logger *zap.Logger,
 ) *Listener {
-	return &Listener{conn: conn, agents: agents, source: source, statements: statements, crashes: crashes, onReport: onReport, logger: logger}
+	return &Listener{conn: conn, agents: agents, source: source, statements: statements, crashes: crashes, onReport: onReport, logger: logger, heardAt: map[netip.AddrPort]time.Time{}, hasHeard: make(chan struct{})}
 }
 
 // Run receives reports and renews subscriptions until the context ends.
@@ -61,6 +74,10 @@
 }
 
 func (listener *Listener) handle(incoming message, from netip.AddrPort) {
+	if incoming.Crashes != nil {
+		listener.crashes.Hear(decodeCrashes(incoming.Crashes, time.Now()))
+	}
+	listener.recordHeard(from)
 	if incoming.NeedsServices {
 		full := listener.source.FullAnnouncement()
 		send(listener.conn, from, message{Announcement: &full}, listener.logger)
@@ -112,30 +129,83 @@
 // Announce sends the announcement to all agents at once. Each renewal of a subscription
 // repeats it.
 func (listener *Listener) Announce() {
-	for _, agent := range listener.agents() {
+	agents := listener.agents()
+	listener.setAgents(agents)
+	for _, agent := range agents {
 		listener.sendSubscription(agent)
 	}
 }
 
+// AwaitAgent waits until an agent has answered the first subscription. It waits no longer
+// than the timeout, since there may be no agent.
+func (listener *Listener) AwaitAgent(ctx context.Context, timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	select {
+	case <-listener.hasHeard:
+	case <-ctx.Done():
+	}
+}
+
 func (listener *Listener) sendSubscription(agent netip.AddrPort) {
 	announcement := listener.source.Announcement()
 	now := time.Now()
 	send(listener.conn, agent, message{
 		Subscribe: true, Announcement: &announcement,
 		Limits: encodeLimits(listener.statements.OwnLimits(), now), Leaving: encodeLeaving(listener.statements.OwnLeaving(), now),
-		Crashes: encodeCrashes(listener.crashes.Own(now), now),
+		Crashes: encodeCrashes(listener.crashes.Own(now), now), NeedsCrashes: listener.isSilent(agent, now),
 	}, listener.logger)
 }
 
+// isSilent reports whether the entry may have missed what the agent repeats. It has if it
+// has just started, was cut off or stood still.
+func (listener *Listener) isSilent(agent netip.AddrPort, now time.Time) bool {
+	listener.mutex.Lock()
+	defer listener.mutex.Unlock()
+	return now.Sub(listener.heardAt[agent]) >= silentTime
+}
+
+// recordHeard records that something came from the address, if it is that of an agent.
+func (listener *Listener) recordHeard(from netip.AddrPort) {
+	listener.mutex.Lock()
+	defer listener.mutex.Unlock()
+	if _, isSubscribed := listener.heardAt[from]; !isSubscribed {
+		return
+	}
+	listener.heardAt[from] = time.Now()
+	select {
+	case <-listener.hasHeard:
+	default:
+		close(listener.hasHeard)
+	}
+}
+
+// setAgents begins and ends the records of agents.
+func (listener *Listener) setAgents(agents []netip.AddrPort) {
+	listener.mutex.Lock()
+	defer listener.mutex.Unlock()
+	previous := listener.heardAt
+	listener.heardAt = make(map[netip.AddrPort]time.Time, len(agents))
+	for _, agent := range agents {
+		listener.heardAt[agent] = previous[agent]
+	}
+}
+
 func (listener *Listener) subscribe(ctx context.Context) {
-	known := map[netip.AddrPort]time.Time{}
+	var agents []netip.AddrPort
+	renewedAt := map[netip.AddrPort]time.Time{}
 	for tick := time.NewTicker(subscribeInterval / 10); ; {
+		if current := listener.agents(); !slices.Equal(current, agents) {
+			agents = current
+			listener.setAgents(agents)
+			maps.DeleteFunc(renewedAt, func(agent netip.AddrPort, _ time.Time) bool { return !slices.Contains(agents, agent) })
+		}
 		now := time.Now()
-		for _, agent := range listener.agents() {
-			if now.Sub(known[agent]) < subscribeInterval {
+		for _, agent := range agents {
+			if now.Sub(renewedAt[agent]) < subscribeInterval {
 				continue
 			}
-			known[agent] = now
+			renewedAt[agent] = now
 			listener.sendSubscription(agent)
 		}
 		select {
--- a/lib/loads/loads.go
+++ b/lib/loads/loads.go
@@ -33,9 +33,10 @@
 
 type (
 	// message is the only kind of datagram. Entries set Subscribe, Announcement, Request,
-	// Limits and Leaving, which they have heard from servers, and Crashes; agents set Report
-	// and NeedsServices, which requests an announcement with the parameters of the engines
-	// and origins.
+	// Limits and Leaving, which they have heard from servers, Crashes, and NeedsCrashes, which
+	// requests the crashes for which traits are quarantined. Agents set Report, Crashes where
+	// they are requested, and NeedsServices, which requests an announcement with the
+	// parameters of the engines and origins.
 	message struct {
 		Subscribe     bool                     `json:"subscribe,omitempty"`
 		Announcement  *directives.Announcement `json:"news,omitempty"`
@@ -43,6 +44,7 @@
 		Request       *request                 `json:"request,omitempty"`
 		Limits        map[string]limit         `json:"limits,omitempty"`
 		Crashes       *crashes                 `json:"crashes,omitempty"`
+		NeedsCrashes  bool                     `json:"ask_crashes,omitempty"`
 		Leaving       map[string]leaving       `json:"leaving,omitempty"`
 		Report        *report                  `json:"report,omitempty"`
 	}
--- a/lib/loads/loads_test.go
+++ b/lib/loads/loads_test.go
@@ -50,6 +50,8 @@
 
 func (noCrashes) Own(time.Time) quarantines.Records { return quarantines.Records{} }
 
+func (noCrashes) Hear(quarantines.Records) {}
+
 // Guards against an entry that never receives the report of an agent that started
 // before it, and against malformed datagrams that end a process.
 func TestReportsReachASubscribedEntry(t *testing.T) {
@@ -191,6 +193,8 @@
 	return quarantines.Records(recorded)
 }
 
+func (recordedCrashes) Hear(quarantines.Records) {}
+
 // Guards against a crash that only the entry knows whose request it cut off: each entry
 // would send requests with the same part on until it has seen enough crashes itself.
 func TestCrashesReachTheOtherEntries(t *testing.T) {
@@ -211,7 +215,7 @@
 			}
 		}
 		var listeners []*Listener
-		for _, source := range []CrashSource{noCrashes{}, recordedCrashes(records)} {
+		for _, source := range []CrashLedger{noCrashes{}, recordedCrashes(records)} {
 			conn, _ := listen(t)
 			listener := NewListener(conn, func() []netip.AddrPort { return []netip.AddrPort{agent} }, announcementSource{}, noLimits{}, source, receive, zap.NewNop())
 			receive = func(placements.Report) {}
@@ -244,6 +248,64 @@
 	})
 }
 
+// lateEntry is an entry that hears of crashes only when it has started.
+type lateEntry struct{ heard chan quarantines.Records }
+
+func (lateEntry) Own(time.Time) quarantines.Records { return quarantines.Records{} }
+
+func (late lateEntry) Hear(records quarantines.Records) { late.heard <- records }
+
+// Guards against an entry that starts after the others have stopped repeating the crashes
+// from which they know a bad request: it would learn that by crashes of its own.
+func TestEntriesThatStartHearOfQuarantines(t *testing.T) {
+	convey.Convey("Given crashes a minute ago under a request and, once each, others", t, func() {
+		agentConn, agent := listen(t)
+		reporter := NewReporter(agentConn, func(directives.Announcement) bool { return false }, zap.NewNop())
+		go reporter.Run(t.Context())
+		now := time.Now()
+		for i := range 3 {
+			crash := quarantines.Crash{
+				Server: fmt.Sprint(i), At: now.Add(time.Duration(i)*time.Second - time.Minute),
+				Traits: []quarantines.Trait{quarantines.Fingerprint(7), quarantines.Fingerprint(100 + i), quarantines.Part("common")},
+			}
+			records, _ := quarantines.Records{}.With(crash, crash.At)
+			records, _ = records.WithAnswer(quarantines.Answer{Trait: quarantines.Part("common"), BeganAt: crash.At.Add(-time.Second)}, now)
+			reporter.recordCrashes(records, crash.At)
+		}
+		for i := range 200 {
+			lonely := quarantines.Crash{Server: "lonely", At: now.Add(time.Duration(i)*time.Millisecond - 4*time.Second), Traits: []quarantines.Trait{quarantines.Fingerprint(1000 + i)}}
+			records, _ := quarantines.Records{}.With(lonely, now)
+			reporter.recordCrashes(records, now)
+		}
+		go func() {
+			for t.Context().Err() == nil {
+				reporter.Report(placements.Report{Server: "i-1"})
+				time.Sleep(100 * time.Millisecond)
+			}
+		}()
+		conn, _ := listen(t)
+		late := lateEntry{heard: make(chan quarantines.Records, 4)}
+		listener := NewListener(conn, func() []netip.AddrPort { return []netip.AddrPort{agent} }, announcementSource{}, noLimits{}, late, func(placements.Report) {}, zap.NewNop())
+		go receive(t.Context(), conn, zap.NewNop(), listener.handle)
+		listener.Announce()
+		listener.AwaitAgent(t.Context(), time.Minute)
+		convey.So(len(late.heard), convey.ShouldEqual, 1)
+		evidence := (<-late.heard).Crashes()
+		convey.So(len(evidence), convey.ShouldEqual, 3)
+		ledger := quarantines.New()
+		for _, crash := range evidence {
+			convey.So(crash.Traits, convey.ShouldResemble, []quarantines.Trait{quarantines.Fingerprint(7)})
+			ledger.RecordOwn(crash, now)
+		}
+		convey.So(ledger.MayRepeat([]quarantines.Trait{quarantines.Fingerprint(7)}), convey.ShouldBeFalse)
+		convey.Convey("Then it does not ask again", func() {
+			go listener.subscribe(t.Context())
+			time.Sleep(subscribeInterval * 5 / 2)
+			convey.So(late.heard, convey.ShouldBeEmpty)
+		})
+	})
+}
+
 // Guards against crash records that overflow a datagram, with which all reports and
 // subscriptions would be lost while the records are repeated.
 func TestCrashRecordsFitADatagram(t *testing.T) {
--- a/lib/loads/reporter.go
+++ b/lib/loads/reporter.go
@@ -79,10 +79,14 @@
 	if incoming.Announcement != nil && reporter.onAnnouncement(*incoming.Announcement) {
 		send(reporter.conn, from, message{NeedsServices: true}, reporter.logger)
 	}
+	now := time.Now()
+	// An entry that has just started uses the servers from the first report on.
+	if incoming.NeedsCrashes {
+		reporter.sendEvidence(from, now)
+	}
 	if incoming.Subscribe {
 		reporter.subscribe(from)
 	}
-	now := time.Now()
 	hasNewLimit := reporter.recordLimits(decodeLimits(incoming.Limits, now))
 	hasNewLeaving := reporter.recordLeaving(decodeLeaving(incoming.Leaving, now))
 	hasNewCrash := reporter.recordCrashes(decodeCrashes(incoming.Crashes, now), now)
@@ -97,10 +101,20 @@
 func (reporter *Reporter) recordCrashes(heard quarantines.Records, now time.Time) (isNew bool) {
 	reporter.mutex.Lock()
 	defer reporter.mutex.Unlock()
-	reporter.crashes, isNew = reporter.crashes.Recent(now).WithAll(heard, now)
+	reporter.crashes, isNew = reporter.crashes.WithAll(heard, now)
 	return isNew
 }
 
+// sendEvidence tells an entry which crashes quarantines come from.
+func (reporter *Reporter) sendEvidence(to netip.AddrPort, now time.Time) {
+	reporter.mutex.Lock()
+	evidence := reporter.crashes.Evidence(now)
+	reporter.mutex.Unlock()
+	if !evidence.IsEmpty() {
+		send(reporter.conn, to, message{Crashes: encodeCrashes(evidence, now)}, reporter.logger)
+	}
+}
+
 // recordLimits records the limits that an entry has heard, and reports whether one has
 // changed.
 func (reporter *Reporter) recordLimits(heard map[string]placements.LimitStatement) bool {
--- a/lib/quarantines/records.go
+++ b/lib/quarantines/records.go
@@ -122,6 +122,32 @@
 	return Records{crashes: crashes, answers: answers[max(0, len(answers)-maxSharedAnswers):]}
 }
 
+// Evidence returns the crashes for which traits are to be quarantined, without what else
+// they cut off, and the answers with these traits. It is what an entry needs to know that
+// has not heard the records.
+func (records Records) Evidence(now time.Time) Records {
+	records = records.withoutOld(now)
+	answers := map[Trait]soundness{}
+	for _, answer := range records.answers {
+		answers[answer.Trait] = soundness{lastBeganAt: answer.BeganAt, answers: 1, complete: 1}
+	}
+	blamed := assess(records.crashes, func(trait Trait) soundness { return answers[trait] }, func(Trait) bool { return false })
+	isQuarantined := func(trait Trait) bool { return blamed[trait].isQuarantined() }
+	evidence := Records{}
+	for _, crash := range records.crashes {
+		crash.Traits = slices.DeleteFunc(slices.Clone(crash.Traits), func(trait Trait) bool { return !isQuarantined(trait) })
+		if len(crash.Traits) > 0 {
+			evidence.crashes = append(evidence.crashes, crash)
+		}
+	}
+	for _, answer := range records.answers {
+		if isQuarantined(answer.Trait) {
+			evidence.answers = append(evidence.answers, answer)
+		}
+	}
+	return evidence
+}
+
 // IsEmpty reports whether there are no records.
 func (records Records) IsEmpty() bool { return len(records.crashes)+len(records.answers) == 0 }
 
