Close connections of callers only when nothing is left to read on them

Cause: http.Server.Shutdown closes a connection that is idle by what has been read, although a request may have arrived, and resets connections that were opened and not accepted. On a busy host both last long. Class: idle is judged by what the process has read, not by what has arrived. Ruled out: ways out of relay, takeover and withdrawal without an answer; they write a line, and the test shows losses without one.

Change: a stopping listener first accepts what is open, connections are closed by an answer with Connection: close or once they have been quiet for 500 ms with nothing to read.

The test of reasons let two crashes meet one server, which count as one; it takes crashed servers off the list now.

--- a/lib/gateways/connections.go
+++ b/lib/gateways/connections.go
@@ -159,7 +159,7 @@
 // Count is zero if the peer has closed the connection, and negative if there is
 // an error.
 func peek(conn net.Conn) (count int, err error) {
-	tcp, ok := conn.(*net.TCPConn)
+	tcp, ok := conn.(syscall.Conn)
 	if !ok {
 		return -1, syscall.EAGAIN
 	}
--- a/lib/gateways/gateway.go
+++ b/lib/gateways/gateway.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -71,6 +72,8 @@
 		draining       atomic.Bool
 		inFlight       atomic.Int64
 		server         *http.Server
+		listener       atomic.Pointer[callerListener]
+		callerConns    *callerConns
 	}
 )
 
@@ -90,12 +93,13 @@
 
 // New returns a gateway that has not started to serve yet.
 func New(dependencies Dependencies) *Gateway {
-	gateway := &Gateway{Dependencies: dependencies, pool: newPool(), callerTimeouts: newCallerTimeouts(), bufferBudget: &bufferBudget{}, metrics: newGatewayMetrics(dependencies.Scope), sampler: newSampler(), unreadableLog: rate.Sometimes{Interval: unreadableLogInterval}}
+	gateway := &Gateway{Dependencies: dependencies, pool: newPool(), callerTimeouts: newCallerTimeouts(), bufferBudget: &bufferBudget{}, metrics: newGatewayMetrics(dependencies.Scope), sampler: newSampler(), unreadableLog: rate.Sometimes{Interval: unreadableLogInterval}, callerConns: &callerConns{open: map[net.Conn]connState{}}}
 	gateway.server = &http.Server{
 		Handler:           gateway,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnState:         gateway.callerConns.setState,
 		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
 			return context.WithValue(ctx, callerConnKey{}, conn)
 		},
@@ -104,13 +108,20 @@
 	return gateway
 }
 
-// Serve answers requests on the listener until Shutdown is called. It returns nil
-// after Shutdown.
+// Serve answers requests on the TCP listener until Shutdown is called, which closes the
+// listener. It returns nil after Shutdown.
 func (gateway *Gateway) Serve(listener net.Listener) error {
-	if err := gateway.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-		return err
+	tcp, isTCP := listener.(*net.TCPListener)
+	if !isTCP {
+		return fmt.Errorf("listen for callers on %T: not TCP", listener)
 	}
-	return nil
+	callers := &callerListener{TCPListener: tcp, stopped: make(chan struct{})}
+	gateway.listener.Store(callers)
+	err := gateway.server.Serve(callers)
+	if errors.Is(err, http.ErrServerClosed) || callers.isStopping.Load() {
+		return nil
+	}
+	return err
 }
 
 // BeginDrain makes the gateway close each connection after its next answer, so
@@ -120,10 +131,6 @@
 // InFlight returns the number of requests that are being served.
 func (gateway *Gateway) InFlight() int64 { return gateway.inFlight.Load() }
 
-// Shutdown stops listening and waits until all requests in flight have ended or
-// the context ends.
-func (gateway *Gateway) Shutdown(ctx context.Context) error { return gateway.server.Shutdown(ctx) }
-
 // PruneConnections closes the idle connections to all servers that are not in
 // known, which holds server ids.
 func (gateway *Gateway) PruneConnections(known map[string]bool) { gateway.pool.closeUnknown(known) }
--- a/lib/gateways/gateways_test.go
+++ b/lib/gateways/gateways_test.go
@@ -1,6 +1,7 @@
 package gateways
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
@@ -476,3 +477,43 @@
 		configuration.Routes[i].Timeout = timeout
 	}
 }
+
+// Guards against a gateway that stops and closes a connection on which a request is
+// arriving, in several packets or behind others that the host has not handled yet.
+func TestShutdownAnswersWhatIsArriving(t *testing.T) {
+	convey.Convey("Given a kept connection with the first half of a request when the gateway stops", t, func() {
+		fixture := newGatewayFixture(t, 4, newScriptedServer(t, answer(http.StatusOK, "Signed: yes\r\n", "text")))
+		conn, err := net.Dial("tcp", fixture.address)
+		convey.So(err, convey.ShouldBeNil)
+		defer func() { _ = conn.Close() }()
+		reader := bufio.NewReader(conn)
+		const firstHalf, secondHalf = "POST /once/ HTTP/1.1\r\nHost: desk.example\r\nKey: key\r\n", "Id: r-1\r\nContent-Length: 0\r\n\r\n"
+		_, _ = io.WriteString(conn, firstHalf+secondHalf)
+		response, err := http.ReadResponse(reader, nil)
+		convey.So(err, convey.ShouldBeNil)
+		_, _ = io.Copy(io.Discard, response.Body)
+		time.Sleep(quietTime + closeInterval)
+		_, _ = io.WriteString(conn, firstHalf)
+		time.Sleep(closeInterval)
+		ended := make(chan error, 1)
+		go func() { ended <- fixture.gateway.Shutdown(t.Context()) }()
+		time.Sleep(quietTime / 2)
+		_, _ = io.WriteString(conn, secondHalf)
+		response, err = http.ReadResponse(reader, nil)
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(response.StatusCode, convey.ShouldEqual, http.StatusOK)
+		convey.So(response.Close, convey.ShouldBeTrue)
+		convey.So(<-ended, convey.ShouldBeNil)
+	})
+	convey.Convey("Given quiet connections only, the gateway ends soon", t, func() {
+		fixture := newGatewayFixture(t, 4)
+		for range 20 {
+			conn, err := net.Dial("tcp", fixture.address)
+			convey.So(err, convey.ShouldBeNil)
+			defer func() { _ = conn.Close() }()
+		}
+		startedAt := time.Now()
+		convey.So(fixture.gateway.Shutdown(t.Context()), convey.ShouldBeNil)
+		convey.So(time.Since(startedAt), convey.ShouldBeLessThan, 2*quietTime)
+	})
+}
--- a/lib/gateways/reasons_test.go
+++ b/lib/gateways/reasons_test.go
@@ -73,10 +73,15 @@
 			fixture.gateway.Quarantines.RecordOwn(quarantines.Crash{Server: fmt.Sprint(i), At: crashedAt, Traits: quarantines.Parts("bad")}, time.Now())
 		}
 		record(fixture, func() { fixture.post(t, "/once/", "", "Parts", "bad") })
-		fixture = newGatewayFixture(t, 4, newScriptedServer(t, closeWithoutAnswer), newScriptedServer(t, closeWithoutAnswer), newScriptedServer(t, closeWithoutAnswer))
+		var crashing []*scriptedServer
+		for range 4 {
+			crashing = append(crashing, newScriptedServer(t, closeWithoutAnswer))
+		}
+		fixture = newGatewayFixture(t, 4, crashing...)
 		for range 3 {
 			time.Sleep(50 * time.Millisecond)
-			fixture.post(t, "/once/", "bad")
+			fixture.post(t, "/once/", "bad", "Crash", "yes")
+			fixture.unlistCrashed(crashing)
 		}
 		record(fixture, func() { fixture.post(t, "/once/", "bad") })
 		fixture = newGatewayFixture(t, 1, newScriptedServer(t, closeWithoutAnswer))
--- /dev/null
+++ b/lib/gateways/shutdown.go
@@ -0,0 +1,169 @@
+package gateways
+
+// This file ends the connections of callers when the gateway stops. http.Server.Shutdown
+// closes each connection at once on which no request has been read. On a busy host, a
+// request may have arrived and not have been read yet, and its caller would lose it. So a
+// connection is closed by an answer that says so, or after it has been quiet for a while
+// with nothing left to read. For the same reason, all connections that callers have opened
+// are accepted before the listener is closed.
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"firford/lib/waits"
+)
+
+const (
+	// quietTime is how long nothing must have come over a connection that is closed without
+	// an answer. It is longer than a request takes to arrive in several packets.
+	quietTime = 500 * time.Millisecond
+	// closeInterval is the pause between two looks at the connections.
+	closeInterval = 20 * time.Millisecond
+	// lastAcceptTime is how long a listener that stops waits for one more connection.
+	lastAcceptTime = 20 * time.Millisecond
+)
+
+type (
+	// callerConn is the connection of a caller. readAt is the Unix time in nanoseconds at
+	// which bytes were last read from it.
+	callerConn struct {
+		*net.TCPConn
+		readAt atomic.Int64
+	}
+
+	// callerListener accepts the connections of callers until it stops. stopped is closed
+	// once it accepts no more.
+	callerListener struct {
+		*net.TCPListener
+		isStopping atomic.Bool
+		stopped    chan struct{}
+	}
+
+	// callerConns are the open connections and since when they are in their state. It is
+	// safe for concurrent use.
+	callerConns struct {
+		mutex sync.Mutex
+		open  map[net.Conn]connState
+	}
+
+	connState struct {
+		state http.ConnState
+		since time.Time
+	}
+)
+
+// Read implements net.Conn.
+func (conn *callerConn) Read(buffer []byte) (int, error) {
+	count, err := conn.TCPConn.Read(buffer)
+	if count > 0 {
+		conn.readAt.Store(time.Now().UnixNano())
+	}
+	return count, err
+}
+
+// lastReadAt returns when bytes were last read, the Unix epoch if none were.
+func (conn *callerConn) lastReadAt() time.Time { return time.Unix(0, conn.readAt.Load()) }
+
+// Accept implements net.Listener. A listener that stops returns the connections that are
+// open already, and then net.ErrClosed.
+func (listener *callerListener) Accept() (net.Conn, error) {
+	for {
+		isStopping := listener.isStopping.Load()
+		if isStopping {
+			if err := listener.SetDeadline(time.Now().Add(lastAcceptTime)); err != nil {
+				return nil, err
+			}
+		}
+		conn, err := listener.AcceptTCP()
+		if err == nil {
+			return &callerConn{TCPConn: conn}, nil
+		}
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return nil, err
+		}
+		// The deadline may only have ended the wait of before, while connections came.
+		if isStopping {
+			close(listener.stopped)
+			return nil, net.ErrClosed
+		}
+	}
+}
+
+// stop ends the wait for connections.
+func (listener *callerListener) stop() {
+	listener.isStopping.Store(true)
+	_ = listener.SetDeadline(time.Now()) // Fails only if the listener is closed.
+}
+
+// setState implements http.Server.ConnState.
+func (conns *callerConns) setState(conn net.Conn, state http.ConnState) {
+	conns.mutex.Lock()
+	defer conns.mutex.Unlock()
+	if state == http.StateClosed || state == http.StateHijacked {
+		delete(conns.open, conn)
+		return
+	}
+	conns.open[conn] = connState{state: state, since: time.Now()}
+}
+
+// closeQuiet closes the connections that have been quiet, and returns how many are left.
+func (conns *callerConns) closeQuiet(now time.Time) (left int) {
+	conns.mutex.Lock()
+	defer conns.mutex.Unlock()
+	for conn, current := range conns.open {
+		if current.state == http.StateActive || !isQuiet(conn, current.since, now) {
+			continue
+		}
+		_ = conn.Close() // The server notices the close and reports it.
+		delete(conns.open, conn)
+	}
+	return len(conns.open)
+}
+
+// isQuiet reports whether nothing has come over the connection for quietTime, which has
+// been without a request since the time.
+func isQuiet(conn net.Conn, since, now time.Time) bool {
+	if caller, isCaller := conn.(*callerConn); isCaller {
+		since = later(since, caller.lastReadAt())
+	}
+	if now.Sub(since) < quietTime {
+		return false
+	}
+	count, err := peek(conn)
+	return count <= 0 || err != nil && !errors.Is(err, syscall.EAGAIN)
+}
+
+func later(left, right time.Time) time.Time {
+	if left.After(right) {
+		return left
+	}
+	return right
+}
+
+// Shutdown stops accepting connections, and waits until all connections have ended or the
+// context ends.
+func (gateway *Gateway) Shutdown(ctx context.Context) error {
+	gateway.draining.Store(true)
+	if listener := gateway.listener.Load(); listener != nil {
+		listener.stop()
+		select {
+		case <-listener.stopped:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	for gateway.callerConns.closeQuiet(time.Now()) > 0 {
+		if !waits.Sleep(ctx, closeInterval) {
+			return ctx.Err()
+		}
+	}
+	return gateway.server.Shutdown(ctx)
+}
