--- a/lib/quarantines/quarantines_test.go
+++ b/lib/quarantines/quarantines_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -421,3 +422,113 @@
 		convey.So(len(ledger.soundRequests.recent)+len(ledger.soundRequests.former), convey.ShouldBeLessThanOrEqualTo, maxSoundTraits)
 	})
 }
+
+// TestRequestQuarantineRules guards a fleet in use against a request that crashes servers.
+func TestRequestQuarantineRules(t *testing.T) {
+	const minServers, warmUp = 3, 3 * time.Second
+	checkRequestQuarantines(t, minServers, warmUp)
+}
+
+// TestRequestQuarantineRulesFromTheStart guards a fleet that has just started as well, in
+// which no answer has shown yet which requests are sound, and one with two servers.
+func TestRequestQuarantineRulesFromTheStart(t *testing.T) {
+	const minServers, warmUp = 2, 0
+	checkRequestQuarantines(t, minServers, warmUp)
+}
+
+// checkRequestQuarantines checks, for random arrivals at several entries that hear each
+// other's records, that a bad request reaches servers no more than three times later than
+// 3 s after its third crash, and that sound requests, new ones and such that callers repeat
+// all the time, are hardly ever refused. The bad one comes after the warm-up. Servers also
+// crash without a cause.
+func checkRequestQuarantines(t *testing.T, minServers int, warmUp time.Duration) {
+	rapid.Check(t, func(random *rapid.T) {
+		const entries, step, steps, delay, allowed, bad = 4, 50 * time.Millisecond, 1200, 2, 3, Fingerprint(0xbad)
+		const uncausedCrashInterval = 300 // steps, on average
+		var ledgers []*Ledger
+		for position := range entries {
+			ledger := New()
+			ledger.SetEntries(position, entries)
+			ledgers = append(ledgers, ledger)
+		}
+		type running struct {
+			entry, server, until int
+			traits               []Trait
+		}
+		var active []running
+		servers := rapid.IntRange(minServers, 12).Draw(random, "servers")
+		interval := rapid.IntRange(1, 10).Draw(random, "steps between bad requests")
+		// Draws of rapid prefer small numbers, with which servers would crash all the time.
+		chance := rand.New(rand.NewPCG(rapid.Uint64().Draw(random, "seed"), 0))
+		crashes, sentAfter, refused := 0, 0, 0
+		var third time.Time
+		down := map[int]int{}
+		send := func(i int, trait Trait) (isRefused bool) {
+			now := start.Add(time.Duration(i) * step)
+			entry := chance.IntN(entries)
+			server := chance.IntN(servers)
+			traits := []Trait{Part("common"), trait}
+			ledgers[entry].CountRequest(traits)
+			if ledgers[entry].Check(traits, now).IsRefused() {
+				return true
+			}
+			if i < down[server] {
+				return false
+			}
+			if trait == bad && !third.IsZero() && now.After(third.Add(3*time.Second)) {
+				sentAfter++
+			}
+			active = append(active, running{entry: entry, server: server, until: i + delay, traits: traits})
+			return false
+		}
+		for i := range steps {
+			now := start.Add(time.Duration(i) * step)
+			for _, trait := range []Trait{Fingerprint(1_000 + i), Fingerprint(1 + chance.IntN(3))} {
+				if send(i, trait) {
+					refused++
+				}
+			}
+			if now.Sub(start) >= warmUp && i%interval == 0 {
+				send(i, bad)
+			}
+			crashed := map[int]bool{}
+			if chance.IntN(uncausedCrashInterval) == 0 {
+				crashed[chance.IntN(servers)] = true
+			}
+			for _, each := range active {
+				if each.until == i && each.traits[1] == bad {
+					crashed[each.server] = true
+					if crashes++; crashes == 3 {
+						third = now
+					}
+				}
+			}
+			var rest []running
+			for _, each := range active {
+				switch {
+				case crashed[each.server]:
+					down[each.server] = i + 40
+					ledgers[each.entry].RecordOwn(Crash{Server: fmt.Sprintf("i-%d-%d", each.server, i), At: now, Traits: each.traits}, now)
+				case each.until == i:
+					ledgers[each.entry].RecordAnswer(fmt.Sprint(each.server), each.traits, now, now)
+				default:
+					rest = append(rest, each)
+				}
+			}
+			active = rest
+			if i%4 == 0 {
+				for _, from := range ledgers {
+					for _, to := range ledgers {
+						to.Merge(from.Own(now), now)
+					}
+				}
+			}
+		}
+		if sentAfter > allowed {
+			random.Fatalf("the bad request was sent %d times later than 3 s after its third crash", sentAfter)
+		}
+		if refused > steps/20 {
+			random.Fatalf("%d of %d sound requests were refused", refused, 2*steps)
+		}
+	})
+}
