Use one server without end and one measure of memory in the tests of four packages

The gateway's test samples each millisecond instead of each second one, which is stricter; bounds and cases are unchanged.

go test of lib/engines, lib/platform, lib/stagings, lib/gateways and platform as before.

--- a/lib/engines/answer_limits_test.go
+++ b/lib/engines/answer_limits_test.go
@@ -1,19 +1,14 @@
 package engines
 
 import (
-	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
-	"net"
-	"net/http"
-	"runtime"
-	"runtime/debug"
 	"strings"
 	"sync"
 	"testing"
-	"time"
+
+	"firford/lib/endless"
 
 	"github.com/smartystreets/goconvey/convey"
 	"github.com/valyala/fasthttp"
@@ -26,64 +21,14 @@
 	headOfAnswer     = "HTTP/1.1 200 OK\r\n"
 )
 
-// startEndlessServer starts a server that answers each request with the text, followed by
-// bytes without end.
-func startEndlessServer(t *testing.T, text string) *Client {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	filler := bytes.Repeat([]byte("x"), 64<<10)
-	serve := func(conn net.Conn) {
-		defer func() { _ = conn.Close() }()
-		if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
-			return
-		}
-		_, err := conn.Write([]byte(text))
-		for err == nil {
-			_, err = conn.Write(filler)
-		}
-	}
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go serve(conn)
-		}
-	}()
-	client := New(Options{Address: listener.Addr().String()})
-	t.Cleanup(func() {
-		client.Close()
-		_ = listener.Close()
-	})
+// newEndlessClient returns a client of a server that answers each request with the text,
+// followed by bytes without end.
+func newEndlessClient(t *testing.T, text string) *Client {
+	client := New(Options{Address: endless.StartServer(t, text)})
+	t.Cleanup(client.Close)
 	return client
 }
 
-// peakMemory returns the most memory that the process has from the system for its heap and
-// stacks while the function runs.
-func peakMemory(run func()) int64 {
-	debug.FreeOSMemory()
-	done, peak := make(chan struct{}), make(chan int64)
-	go func() {
-		for largest := int64(0); ; {
-			var stats runtime.MemStats
-			runtime.ReadMemStats(&stats)
-			largest = max(largest, int64(stats.Sys-stats.HeapReleased))
-			select {
-			case <-done:
-				peak <- largest
-				return
-			case <-time.After(time.Millisecond):
-			}
-		}
-	}()
-	run()
-	close(done)
-	return <-peak
-}
-
 // isTooLong reports whether an answer failed because a part of it exceeds a bound.
 func isTooLong(err error) bool {
 	var head *fasthttp.ErrSmallBuffer
@@ -115,8 +60,8 @@
 			"an informational head without end": "HTTP/1.1 103 Early Hints\r\nDetail: ",
 		} {
 			convey.Convey(fmt.Sprintf("Given a backend server that answers a %s with %s", name, kind), t, func() {
-				client := startEndlessServer(t, text)
-				peak := peakMemory(func() {
+				client := newEndlessClient(t, text)
+				peak := endless.PeakMemory(func() {
 					var group sync.WaitGroup
 					for range concurrentCalls {
 						group.Go(func() {
@@ -144,7 +89,7 @@
 		for sequence := 3; sequence < 10_000; sequence++ {
 			fmt.Fprintf(&text, "{\"seq\":%d,\"token\":\"\"}\n", sequence)
 		}
-		client := startEndlessServer(t, text.String())
+		client := newEndlessClient(t, text.String())
 		delivered := 0
 		_, err := client.Generate(context.Background(), Generation{RequestID: "r", MaxTokens: 6, ResumeFrom: 2}, func(Token) { delivered++ })
 		convey.So(err, convey.ShouldNotBeNil)
--- a/lib/gateways/answer_limits_test.go
+++ b/lib/gateways/answer_limits_test.go
@@ -5,8 +5,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"runtime"
-	"runtime/debug"
 	"strconv"
 	"strings"
 	"sync"
@@ -18,6 +16,7 @@
 	"go.uber.org/zap/zapcore"
 	"go.uber.org/zap/zaptest/observer"
 
+	"firford/lib/endless"
 	"firford/lib/routes"
 )
 
@@ -194,33 +193,6 @@
 	}
 }
 
-// memoryUse returns the bytes that the process has from the system for its heap and
-// stacks.
-func memoryUse() int64 {
-	var stats runtime.MemStats
-	runtime.ReadMemStats(&stats)
-	return int64(stats.Sys - stats.HeapReleased)
-}
-
-// peakMemory returns the largest memory use while the function runs.
-func peakMemory(run func()) int64 {
-	done, peak := make(chan struct{}), make(chan int64)
-	go func() {
-		for largest := int64(0); ; {
-			largest = max(largest, memoryUse())
-			select {
-			case <-done:
-				peak <- largest
-				return
-			case <-time.After(2 * time.Millisecond):
-			}
-		}
-	}()
-	run()
-	close(done)
-	return <-peak
-}
-
 // Guards against an entry that exceeds the memory of its host when many connections at
 // the same time get bytes that do not end. A part of the bytes comes fast; the rest never
 // comes, so that the memory is held until the deadline.
@@ -275,9 +247,8 @@
 			}
 			table := routes.New(patient)
 			fixture.gateway.Table = func() routes.Table { return table }
-			debug.FreeOSMemory() // What the cases before have used must not count.
 			var group sync.WaitGroup
-			peak := peakMemory(func() {
+			peak := endless.PeakMemory(func() {
 				for i := range concurrentAnswers {
 					group.Go(func() { fixture.postDiscarding(each.path, "r-"+strconv.Itoa(i)) })
 				}
--- a/lib/platform/answer_limits_test.go
+++ b/lib/platform/answer_limits_test.go
@@ -1,49 +1,16 @@
 package platform
 
 import (
-	"bufio"
-	"bytes"
 	"context"
 	"errors"
-	"net"
-	"net/http"
 	"testing"
 
+	"firford/lib/endless"
+
 	"github.com/smartystreets/goconvey/convey"
 	"github.com/valyala/fasthttp"
 )
 
-// startEndlessServer starts a server that answers each request with the text, followed by
-// bytes without end.
-func startEndlessServer(t *testing.T, text string) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	filler := bytes.Repeat([]byte("x"), 64<<10)
-	serve := func(conn net.Conn) {
-		defer func() { _ = conn.Close() }()
-		if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
-			return
-		}
-		_, err := conn.Write([]byte(text))
-		for err == nil {
-			_, err = conn.Write(filler)
-		}
-	}
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go serve(conn)
-		}
-	}()
-	return listener.Addr().String()
-}
-
 // Guards against answers of the platform that are too long or do not end and are taken for
 // complete ones, and against a write that counts as not performed because of one.
 func TestEndlessAnswersAreErrors(t *testing.T) {
@@ -53,7 +20,7 @@
 		"a header without end": "HTTP/1.1 200 OK\r\nDetail: ",
 	} {
 		convey.Convey("Given a platform that answers with "+kind, t, func() {
-			client := New(startEndlessServer(t, text), "token")
+			client := New(endless.StartServer(t, text), "token")
 			ctx := context.Background()
 			isTooLong := func(err error) bool {
 				var head *fasthttp.ErrSmallBuffer
--- a/lib/stagings/peer_limits_test.go
+++ b/lib/stagings/peer_limits_test.go
@@ -1,15 +1,10 @@
 package stagings
 
 import (
-	"bufio"
-	"bytes"
-	"net"
-	"net/http"
-	"runtime"
-	"runtime/debug"
 	"sync"
 	"testing"
-	"time"
+
+	"firford/lib/endless"
 
 	"github.com/smartystreets/goconvey/convey"
 )
@@ -17,60 +12,6 @@
 // agentMemoryBytes is the memory of an agent's host.
 const agentMemoryBytes = 152_000_000
 
-// startEndlessPeer starts a server that answers each request with bytes without end after
-// the text.
-func startEndlessPeer(t *testing.T, text string) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	filler := bytes.Repeat([]byte("x"), 64<<10)
-	serve := func(conn net.Conn) {
-		defer func() { _ = conn.Close() }()
-		if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
-			return
-		}
-		_, err := conn.Write([]byte(text))
-		for err == nil {
-			_, err = conn.Write(filler)
-		}
-	}
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go serve(conn)
-		}
-	}()
-	return listener.Addr().String()
-}
-
-// peakMemory returns the most memory that the process has from the system for its heap and
-// stacks while the function runs.
-func peakMemory(run func()) int64 {
-	debug.FreeOSMemory()
-	done, peak := make(chan struct{}), make(chan int64)
-	go func() {
-		for largest := int64(0); ; {
-			var stats runtime.MemStats
-			runtime.ReadMemStats(&stats)
-			largest = max(largest, int64(stats.Sys-stats.HeapReleased))
-			select {
-			case <-done:
-				peak <- largest
-				return
-			case <-time.After(time.Millisecond):
-			}
-		}
-	}()
-	run()
-	close(done)
-	return <-peak
-}
-
 // Guards against answers of peers that are too long or do not end and are taken for
 // complete ones, and against an agent that exceeds the memory of its host while it reads
 // them: it probes all peers of a large fleet at the same time.
@@ -105,10 +46,10 @@
 			convey.Convey("Given peers that answer a call for "+name+" with "+kind, t, func() {
 				var addresses []string
 				for range each.concurrent {
-					addresses = append(addresses, startEndlessPeer(t, text))
+					addresses = append(addresses, endless.StartServer(t, text))
 				}
 				client := newPeerClient()
-				peak := peakMemory(func() {
+				peak := endless.PeakMemory(func() {
 					var group sync.WaitGroup
 					for _, address := range addresses {
 						group.Go(func() {
