--- a/lib/quarantines/assess.go
+++ b/lib/quarantines/assess.go
@@ -93,8 +93,9 @@
 }
 
 // worstTraits returns the traits with the most crashes, among these the ones with the
-// fewest answers, and among these requests rather than parts. If a part is bad all the
-// same, the next request with it shows that.
+// fewest answers that servers survived, then with the fewest complete answers, and among
+// these requests rather than parts. If a part is bad all the same, the next request with it
+// shows that.
 func worstTraits(suspects map[Trait]blame, known func(trait Trait) soundness) []Trait {
 	var worst []Trait
 	for trait, suspect := range suspects {
