Take no requests that an entry which stops may not complete

Class: the time limit of one case (nothing has come yet) applied to another (an answer has just ended).

Change: while the gateway stops, a connection is closed right after its answer unless more has arrived, and a request that is complete later than 500 ms after the listener closed is refused at once, with the time after which to ask another entry.

--- a/lib/gateways/gateway.go
+++ b/lib/gateways/gateway.go
@@ -40,6 +40,9 @@
 	// unconfiguredRetryAfter is the delay after which callers should retry at a
 	// gateway that has no configuration yet.
 	unconfiguredRetryAfter = 300 * time.Millisecond
+	// stoppingRetryAfter is the delay after which callers should retry, at another gateway,
+	// if this one stops.
+	stoppingRetryAfter = 50 * time.Millisecond
 )
 
 type (
@@ -74,6 +77,9 @@
 		server         *http.Server
 		listener       atomic.Pointer[callerListener]
 		callerConns    *callerConns
+		// refuseFrom is the Unix time in nanoseconds from which a gateway that stops refuses
+		// requests, zero before.
+		refuseFrom atomic.Int64
 	}
 )
 
@@ -214,6 +220,10 @@
 		request.refuse(reasonNoConfiguration, unconfiguredRetryAfter)
 		return
 	}
+	if request.gateway.isStopped(request.arrivedAt) {
+		request.refuse(reasonStopping, stoppingRetryAfter)
+		return
+	}
 	path, _, _ := strings.Cut(request.received.RequestURI, "?")
 	match, err := table.Match(request.received.Host, path, request.info.APIKey)
 	if err != nil {
--- a/lib/gateways/gateways_test.go
+++ b/lib/gateways/gateways_test.go
@@ -517,3 +517,52 @@
 		convey.So(time.Since(startedAt), convey.ShouldBeLessThan, 2*quietTime)
 	})
 }
+
+// Guards against a gateway that stops and takes requests that it may not complete before
+// its process ends.
+func TestShutdownTakesNoLateRequests(t *testing.T) {
+	const request = "POST /once/ HTTP/1.1\r\nHost: desk.example\r\nKey: key\r\nId: r-1\r\nContent-Length: 0\r\n\r\n"
+	slowly := func(conn net.Conn, received *http.Request) bool {
+		time.Sleep(quietTime / 2)
+		return answer(http.StatusOK, "Signed: yes\r\n", "text")(conn, received)
+	}
+	dial := func(fixture *gatewayFixture) (net.Conn, *bufio.Reader) {
+		conn, err := net.Dial("tcp", fixture.address)
+		convey.So(err, convey.ShouldBeNil)
+		t.Cleanup(func() { _ = conn.Close() })
+		return conn, bufio.NewReader(conn)
+	}
+	convey.Convey("Given an answer that began before the stop, its connection is closed right after it", t, func() {
+		fixture := newGatewayFixture(t, 4, newScriptedServer(t, slowly))
+		conn, reader := dial(fixture)
+		_, _ = io.WriteString(conn, request)
+		time.Sleep(closeInterval)
+		go func() { _ = fixture.gateway.Shutdown(t.Context()) }()
+		response, err := http.ReadResponse(reader, nil)
+		convey.So(err, convey.ShouldBeNil)
+		text, err := io.ReadAll(response.Body)
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(string(text), convey.ShouldEqual, "text")
+		_ = conn.SetReadDeadline(time.Now().Add(quietTime / 2))
+		_, err = reader.ReadByte()
+		convey.So(err, convey.ShouldEqual, io.EOF)
+	})
+	convey.Convey("Given a request that is complete long after the stop, it is refused", t, func() {
+		server := newScriptedServer(t, slowly)
+		fixture := newGatewayFixture(t, 4, server)
+		conn, reader := dial(fixture)
+		time.Sleep(closeInterval)
+		go func() { _ = fixture.gateway.Shutdown(t.Context()) }()
+		const pieces = 6
+		for i := range pieces {
+			_, _ = io.WriteString(conn, request[i*len(request)/pieces:(i+1)*len(request)/pieces])
+			time.Sleep(quietTime / 4)
+		}
+		response, err := http.ReadResponse(reader, nil)
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(response.StatusCode, convey.ShouldEqual, http.StatusServiceUnavailable)
+		convey.So(response.Header.Get("Retry-After"), convey.ShouldNotBeEmpty)
+		convey.So(response.Close, convey.ShouldBeTrue)
+		convey.So(server.requests(), convey.ShouldBeEmpty)
+	})
+}
--- a/lib/gateways/reasons.go
+++ b/lib/gateways/reasons.go
@@ -13,6 +13,7 @@
 	reasonNone reason = ""
 	// The request has not run, and the caller may retry.
 	reasonNoConfiguration    reason = "no configuration yet"
+	reasonStopping           reason = "entry stops"
 	reasonQueueTooLong       reason = "too many wait"
 	reasonNoPlaceInTime      reason = "no place in time"
 	reasonDeadline           reason = "no place before the deadline"
@@ -34,6 +35,6 @@
 
 // allReasons lists all reasons for tests that require an explanation of each.
 var allReasons = []reason{
-	reasonNoConfiguration, reasonQueueTooLong, reasonNoPlaceInTime, reasonDeadline, reasonTurnedAway, reasonNotReached, reasonQuarantinedPart, reasonQuarantinedRequest,
+	reasonNoConfiguration, reasonStopping, reasonQueueTooLong, reasonNoPlaceInTime, reasonDeadline, reasonTurnedAway, reasonNotReached, reasonQuarantinedPart, reasonQuarantinedRequest,
 	reasonNoRoute, reasonUnknownKey, reasonTooLarge, reasonAnswerLost, reasonNoServerLeft, reasonRequestNotRead, reasonCallerLeft,
 }
--- a/lib/gateways/reasons_test.go
+++ b/lib/gateways/reasons_test.go
@@ -57,6 +57,9 @@
 		fixture.gateway.Table = func() routes.Table { return routes.Table{} }
 		record(fixture, func() { fixture.post(t, "/once/", "") })
 		fixture = newGatewayFixture(t, 1)
+		fixture.gateway.refuseFrom.Store(time.Now().UnixNano())
+		record(fixture, func() { fixture.post(t, "/once/", "") })
+		fixture = newGatewayFixture(t, 1)
 		record(fixture, func() { fixture.post(t, "/once/", "") })
 		record(fixture, func() { fixture.post(t, "/elsewhere/", "") })
 		record(fixture, func() { fixture.post(t, "/once/", "", "Key", "stranger") })
--- a/lib/gateways/shutdown.go
+++ b/lib/gateways/shutdown.go
@@ -114,12 +114,14 @@
 	conns.open[conn] = connState{state: state, since: time.Now()}
 }
 
-// closeQuiet closes the connections that have been quiet, and returns how many are left.
-func (conns *callerConns) closeQuiet(now time.Time) (left int) {
+// closeQuiet closes the connections over which nothing comes, and returns how many are
+// left. Those that got an answer since the stop are closed at once, as if it had said so.
+func (conns *callerConns) closeQuiet(stoppedAt, now time.Time) (left int) {
 	conns.mutex.Lock()
 	defer conns.mutex.Unlock()
 	for conn, current := range conns.open {
-		if current.state == http.StateActive || !isQuiet(conn, current.since, now) {
+		wasAnswered := current.state == http.StateIdle && current.since.After(stoppedAt)
+		if current.state == http.StateActive || !isQuiet(conn, current.since, wasAnswered, now) {
 			continue
 		}
 		_ = conn.Close() // The server notices the close and reports it.
@@ -128,13 +130,15 @@
 	return len(conns.open)
 }
 
-// isQuiet reports whether nothing has come over the connection for quietTime, which has
-// been without a request since the time.
-func isQuiet(conn net.Conn, since, now time.Time) bool {
+// isQuiet reports whether nothing comes over the connection, which has been without a
+// request since the time: for quietTime, or at all after an answer.
+func isQuiet(conn net.Conn, since time.Time, wasAnswered bool, now time.Time) bool {
+	lastReadAt := time.Time{}
 	if caller, isCaller := conn.(*callerConn); isCaller {
-		since = later(since, caller.lastReadAt())
+		lastReadAt = caller.lastReadAt()
 	}
-	if now.Sub(since) < quietTime {
+	isPartlyRead := lastReadAt.After(since)
+	if now.Sub(later(since, lastReadAt)) < quietTime && (isPartlyRead || !wasAnswered) {
 		return false
 	}
 	count, err := peek(conn)
@@ -148,6 +152,13 @@
 	return right
 }
 
+// isStopped reports whether a request comes too late. One that arrived before the stop is
+// served, also if it is read later. A later one may not be complete before the process ends.
+func (gateway *Gateway) isStopped(now time.Time) bool {
+	refuseFrom := gateway.refuseFrom.Load()
+	return refuseFrom != 0 && now.UnixNano() >= refuseFrom
+}
+
 // Shutdown stops accepting connections, and waits until all connections have ended or the
 // context ends.
 func (gateway *Gateway) Shutdown(ctx context.Context) error {
@@ -160,7 +171,9 @@
 			return ctx.Err()
 		}
 	}
-	for gateway.callerConns.closeQuiet(time.Now()) > 0 {
+	stoppedAt := time.Now()
+	gateway.refuseFrom.Store(stoppedAt.Add(quietTime).UnixNano())
+	for gateway.callerConns.closeQuiet(stoppedAt, time.Now()) > 0 {
 		if !waits.Sleep(ctx, closeInterval) {
 			return ctx.Err()
 		}
--- a/lib/timelines/causes.go
+++ b/lib/timelines/causes.go
@@ -199,6 +199,7 @@
 
 // reasonTexts explains each reason for which the gateway itself ends a request.
 var reasonTexts = map[string]string{
+	"entry stops":                     "refused: the entry was about to end, and another one can take the request",
 	"no configuration yet":            "the entry had read no configuration yet",
 	"too many wait":                   "refused on arrival: its turn would have come too late",
 	"no place in time":                "refused after waiting: no server had room in time",
