Limit the memory of the runtime to a share of the host's

Cause: the collector lets the heap grow to twice what is in use, and ends late on a busy host; nothing told it how much memory the host has. Ruled out: a smaller budget for buffers, which fails usual answers while the collector is on time.

Change: each process limits the runtime to 75% of the host's memory at its start, unless the operator has set GOMEMLIMIT; the rest is the kernel's, for bytes that were not read yet. The test sets the same limit for its 184 MB; its bound is unchanged.

--- a/lib/gateways/answer_limits_test.go
+++ b/lib/gateways/answer_limits_test.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap/zaptest/observer"
 
 	"firford/lib/endless"
+	"firford/lib/memory"
 	"firford/lib/routes"
 )
 
@@ -198,6 +199,7 @@
 // comes, so that the memory is held until the deadline.
 func TestMemoryOfConcurrentAnswersIsBounded(t *testing.T) {
 	const heldBytes = 2 << 20
+	defer memory.Limit(entryMemoryBytes)() // As the program does.
 	for name, each := range map[string]struct {
 		path  string
 		write func(conn net.Conn, id string)
--- a/lib/processes/execute.go
+++ b/lib/processes/execute.go
@@ -11,6 +11,8 @@
 	"os"
 	"os/signal"
 	"syscall"
+
+	"firford/lib/memory"
 )
 
 const (
@@ -53,6 +55,9 @@
 	if arguments.Check {
 		return 0
 	}
+	if err := memory.LimitToHost(); err != nil {
+		fmt.Fprintf(os.Stderr, "%s: %v\n", name, err)
+	}
 	defer checkOnHangup(func() error { _, err := read(arguments.Settings); return err })()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
