End the acceptance of connections when an entry stops, however many callers connect

Cause: a stopping listener accepted for as long as a connection came within 20 ms of the one before, and the time from which requests are refused was set only after that. Change: it accepts for 200 ms at most, and the time counts from the stop.

lib/gateways TestShutdownEndsWhileCallersConnect fails on (not ended within 2 s) and passes; go test ./lib/gateways and platform/soak TestStoppingEntry pass.

--- a/lib/gateways/gateway.go
+++ b/lib/gateways/gateway.go
@@ -124,7 +124,7 @@
 	callers := &callerListener{TCPListener: tcp, stopped: make(chan struct{})}
 	gateway.listener.Store(callers)
 	err := gateway.server.Serve(callers)
-	if errors.Is(err, http.ErrServerClosed) || callers.isStopping.Load() {
+	if errors.Is(err, http.ErrServerClosed) || callers.acceptUntil.Load() != 0 {
 		return nil
 	}
 	return err
--- a/lib/gateways/gateways_test.go
+++ b/lib/gateways/gateways_test.go
@@ -566,3 +566,27 @@
 		convey.So(server.requests(), convey.ShouldBeEmpty)
 	})
 }
+
+// Guards against a gateway that stops and never closes its listener, because callers go on
+// to open connections.
+func TestShutdownEndsWhileCallersConnect(t *testing.T) {
+	convey.Convey("Given callers that open a connection each few milliseconds", t, func() {
+		fixture := newGatewayFixture(t, 4)
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		for range 4 {
+			go func() {
+				for ctx.Err() == nil {
+					if conn, err := net.Dial("tcp", fixture.address); err == nil {
+						defer func() { _ = conn.Close() }()
+					}
+					time.Sleep(2 * time.Millisecond)
+				}
+			}()
+		}
+		time.Sleep(closeInterval)
+		limited, cancel := context.WithTimeout(t.Context(), 4*quietTime)
+		defer cancel()
+		convey.So(fixture.gateway.Shutdown(limited), convey.ShouldBeNil)
+	})
+}
--- a/lib/gateways/shutdown.go
+++ b/lib/gateways/shutdown.go
@@ -27,8 +27,10 @@
 	quietTime = 500 * time.Millisecond
 	// closeInterval is the pause between two looks at the connections.
 	closeInterval = 20 * time.Millisecond
-	// lastAcceptTime is how long a listener that stops waits for one more connection.
+	// lastAcceptTime is how long a listener that stops waits for one more connection, and
+	// maxAcceptTime how long it accepts any: callers may go on to open new ones.
 	lastAcceptTime = 20 * time.Millisecond
+	maxAcceptTime  = 200 * time.Millisecond
 )
 
 type (
@@ -39,12 +41,13 @@
 		readAt atomic.Int64
 	}
 
-	// callerListener accepts the connections of callers until it stops. stopped is closed
+	// callerListener accepts the connections of callers until it stops. acceptUntil is the
+	// Unix time in nanoseconds until which it does so then, zero before. stopped is closed
 	// once it accepts no more.
 	callerListener struct {
 		*net.TCPListener
-		isStopping atomic.Bool
-		stopped    chan struct{}
+		acceptUntil atomic.Int64
+		stopped     chan struct{}
 	}
 
 	// callerConns are the open connections and since when they are in their state. It is
@@ -76,7 +79,12 @@
 // open already, and then net.ErrClosed.
 func (listener *callerListener) Accept() (net.Conn, error) {
 	for {
-		isStopping := listener.isStopping.Load()
+		acceptUntil := listener.acceptUntil.Load()
+		isStopping := acceptUntil != 0
+		if isStopping && time.Now().UnixNano() > acceptUntil {
+			close(listener.stopped)
+			return nil, net.ErrClosed
+		}
 		if isStopping {
 			if err := listener.SetDeadline(time.Now().Add(lastAcceptTime)); err != nil {
 				return nil, err
@@ -99,7 +107,7 @@
 
 // stop ends the wait for connections.
 func (listener *callerListener) stop() {
-	listener.isStopping.Store(true)
+	listener.acceptUntil.Store(time.Now().Add(maxAcceptTime).UnixNano())
 	_ = listener.SetDeadline(time.Now()) // Fails only if the listener is closed.
 }
 
@@ -163,6 +171,8 @@
 // context ends.
 func (gateway *Gateway) Shutdown(ctx context.Context) error {
 	gateway.draining.Store(true)
+	stoppedAt := time.Now()
+	gateway.refuseFrom.Store(stoppedAt.Add(quietTime).UnixNano())
 	if listener := gateway.listener.Load(); listener != nil {
 		listener.stop()
 		select {
@@ -171,8 +181,6 @@
 			return ctx.Err()
 		}
 	}
-	stoppedAt := time.Now()
-	gateway.refuseFrom.Store(stoppedAt.Add(quietTime).UnixNano())
 	for gateway.callerConns.closeQuiet(stoppedAt, time.Now()) > 0 {
 		if !waits.Sleep(ctx, closeInterval) {
 			return ctx.Err()
