Blame a part that turns bad although its requests explain their own crashes

Two causes, shown by a simulation of five ledgers and 20 servers in virtual time, lib/quarantines TestPartThatTurnsBadIsBlamedForRepeatedRequests (30 sound requests a second, each request sent twice):

A request that is sent twice has two crashes and no answer. assess blamed it first and took both crashes away from the part that all of them share, so the part never had the eight that a part with answers needs. Traits that are only kept from being sent again now explain no crash for others; a quarantined one (three crashes) still does. 2. A trait was sound for 2 s after an answer began, and crash records left it out for ever in that time: the first 16 crashes of a part in one of five requests named only its requests. It is sound for 250 ms now. What that time protected, parts that most requests share, is shown by answers under way: those that began 250 ms ago and whose server lives count for the time being, instead of only at their end.

Ruled out by the same rapid machines, 1,000 checks each before and after: a bad request or part that is sent more often, sound ones that are refused. A part that over four in five requests have is still never blamed.

--- a/lib/quarantines/assess.go
+++ b/lib/quarantines/assess.go
@@ -47,14 +47,24 @@
 // crash, whatever its cause, and without them nothing would be left to serve.
 // The trait with the most crashes is blamed for all of them, then the one with the most of
 // the rest, and so on: requests that were cut off with the bad ones are not held against
-// their own traits. Traits with which no answer ever began are blamed first.
+// their own traits. Traits with which no answer ever began are blamed first. Those that are
+// only kept from being sent again explain no crash: a request that was sent twice has two, and
+// it is open whether the request was the cause or a part that others share.
 func assess(crashes []Crash, known func(trait Trait) soundness, isCommon func(trait Trait) bool) map[Trait]blame {
 	blamed := map[Trait]blame{}
-	rest := cover(crashes, blamed, minRepeatCrashes, known, func(trait Trait) bool { return known(trait).answers == 0 && !isCommon(trait) })
+	cover(crashes, blamed, minRepeatCrashes, known, func(trait Trait) bool { return known(trait).answers == 0 && !isCommon(trait) })
+	rest := withoutQuarantined(crashes, blamed)
 	cover(rest, blamed, minSoundCrashes, known, func(trait Trait) bool { return !isCommon(trait) })
 	return blamed
 }
 
+// withoutQuarantined returns the crashes that no quarantined trait explains.
+func withoutQuarantined(crashes []Crash, blamed map[Trait]blame) []Crash {
+	return slices.DeleteFunc(slices.Clone(crashes), func(crash Crash) bool {
+		return slices.ContainsFunc(crash.Traits, func(trait Trait) bool { return blamed[trait].isQuarantined() })
+	})
+}
+
 // cover blames the traits that may be blamed and are in enough crashes, and returns the
 // crashes that they don't explain.
 func cover(crashes []Crash, blamed map[Trait]blame, minimum int, known func(trait Trait) soundness, mayBlame func(trait Trait) bool) []Crash {
@@ -79,7 +89,7 @@
 	suspects := map[Trait]blame{}
 	for _, crash := range crashes {
 		for _, trait := range crash.Traits {
-			if crash.At.Before(known(trait).lastBeganAt.Add(soundTime)) {
+			if known(trait).isSoundAt(crash.At) {
 				continue
 			}
 			moments := suspects[trait].moments
--- a/lib/quarantines/quarantines.go
+++ b/lib/quarantines/quarantines.go
@@ -30,7 +30,10 @@
 	CrashTime = time.Second
 	// soundTime is how long after an answer began with a part the part is not blamed for
 	// crashes. Nearly all prompts share some part, and each crash cuts off requests with it.
-	soundTime = 2 * time.Second
+	soundTime = 250 * time.Millisecond
+	// provisionalTime is how long after an answer began it counts for the time being. If its
+	// server crashes within CrashTime, it no longer does.
+	provisionalTime = 250 * time.Millisecond
 	// probeInterval is the time from the last crash under a trait until a single request
 	// with it is let through. It doubles with each such request that crashed a server, up
 	// to maxProbeDoublings times.
@@ -212,9 +215,10 @@
 	ledger.mutex.Lock()
 	defer ledger.mutex.Unlock()
 	changes = ledger.proveAnswers(now)
-	crash.Traits = slices.DeleteFunc(slices.Clone(crash.Traits), func(trait Trait) bool { return ledger.isSoundAt(trait, crash.At) })
+	ledger.dropUnproven(crash)
+	known := ledger.knownSoundness(now)
+	crash.Traits = slices.DeleteFunc(slices.Clone(crash.Traits), func(trait Trait) bool { return known(trait).isSoundAt(crash.At) })
 	if len(crash.Traits) == 0 {
-		ledger.dropUnproven(crash)
 		return false, changes
 	}
 	ledger.own, isNew = ledger.own.withoutOld(now).With(crash, now)
@@ -280,17 +284,12 @@
 	return &ledger.soundParts
 }
 
-// isSoundAt reports whether the trait can't be blamed for a crash at the time.
-func (ledger *Ledger) isSoundAt(trait Trait, at time.Time) bool {
-	return at.Before(ledger.sound(trait).get(trait).lastBeganAt.Add(soundTime))
-}
-
 // reassess finds the traits that explain the crashes, and returns what has changed. The
 // caller holds the mutex.
 func (ledger *Ledger) reassess(now time.Time) []Change {
 	ledger.all = ledger.all.withoutOld(now)
 	before := ledger.blamed
-	ledger.blamed = assess(ledger.all.crashes, ledger.knownSoundness(), ledger.isCommon)
+	ledger.blamed = assess(ledger.all.crashes, ledger.knownSoundness(now), ledger.isCommon)
 	var changes []Change
 	for _, trait := range slices.SortedFunc(maps.Keys(ledger.blamed), compareTraits) {
 		next := ledger.blamed[trait]
@@ -307,18 +306,26 @@
 	return changes
 }
 
-// knownSoundness returns a function that counts unproven answers as well, which decide
-// between traits that are equally suspect. The caller holds the mutex.
-func (ledger *Ledger) knownSoundness() func(trait Trait) soundness {
-	unproven := map[Trait]int{}
+// knownSoundness returns a function that counts unproven answers as well. They decide
+// between traits that are equally suspect, and show for the time being that a trait is
+// sound: an answer that is recorded only at its end would come too late for that. The caller
+// holds the mutex.
+func (ledger *Ledger) knownSoundness(now time.Time) func(trait Trait) soundness {
+	unproven := map[Trait]soundness{}
 	for _, answer := range ledger.unproven {
 		for _, trait := range answer.traits {
-			unproven[trait]++
+			next := unproven[trait]
+			next.answers++
+			if now.Sub(answer.beganAt) >= provisionalTime {
+				next.lastBeganAt = later(next.lastBeganAt, answer.beganAt)
+			}
+			unproven[trait] = next
 		}
 	}
 	return func(trait Trait) soundness {
 		known := ledger.sound(trait).get(trait)
-		known.answers += unproven[trait]
+		known.answers += unproven[trait].answers
+		known.lastBeganAt = later(known.lastBeganAt, unproven[trait].lastBeganAt)
 		return known
 	}
 }
--- a/lib/quarantines/sound_traits.go
+++ b/lib/quarantines/sound_traits.go
@@ -23,6 +23,11 @@
 	}
 )
 
+// isSoundAt reports whether a trait can't be blamed for a crash at the time.
+func (known soundness) isSoundAt(at time.Time) bool {
+	return at.Before(known.lastBeganAt.Add(soundTime))
+}
+
 // get returns what is known of the answers with the trait.
 func (sound *soundTraits) get(trait Trait) soundness {
 	if known, isRecent := sound.recent[trait]; isRecent {
