Send statements of servers a few times instead of with each report

Cause: each report of each agent named all leaving servers for 10 s, all limits, and all crashes of the last 4 s, and each subscription of each entry told them to each agent. An agent of a busy engine reports up to 25 times a second to each entry, so 40 leaving servers made its reports fifteen times as long; since requests have fingerprints, a crash of a full engine alone is some 600 bytes. With 45 agents this is up to 2 MB/s at an entry (calc from the 2,158 bytes of the table in docs/measurements/hearing.md), and with 120 over 6 MB/s, before links of 40 Mbit/s and 27 Mbit/s between regions.

Change: news go to two agents, each sends them at once and with its next three reports; an entry exchanges all that is current with four agents a second, others each time, instead of with all. An agent passes on what it hears in a subscription only within 1.5 s. Weighed: a digest in each subscription (two fleets of sets that age differently rarely agree), repeating once a second (45 or 120 copies a second all the same).

Idle as before.

--- a/lib/loads/listener.go
+++ b/lib/loads/listener.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"slices"
@@ -21,6 +22,10 @@
 
 const (
 	subscribeInterval = time.Second
+	// exchangedAgents is how many agents an entry tells in each subscribeInterval what it has
+	// heard from servers, and asks for what they have heard. They are others each time. With
+	// all agents, the same statements would cross the links once for each agent.
+	exchangedAgents = 4
 	// silentTime is how long an agent may say nothing until the entry may have missed
 	// records of crashes, which agents repeat for longer.
 	silentTime = 2 * time.Second
@@ -55,6 +60,8 @@
 		// heardAt is when each agent was last heard. hasHeard is closed once one was heard.
 		heardAt  map[netip.AddrPort]time.Time
 		hasHeard chan struct{}
+		// exchangeTurn decides with which agents statements are exchanged now.
+		exchangeTurn int
 	}
 )
 
@@ -107,23 +114,38 @@
 	send(listener.conn, agent, message{Request: &request{Number: number}}, listener.logger)
 }
 
-// NotifyLimit informs an agent of a limit that a server stated.
+// NotifyLimit informs an agent and a second one of a limit that a server stated.
 func (listener *Listener) NotifyLimit(agent netip.AddrPort, server string, statement placements.LimitStatement) {
 	limits := encodeLimits(map[string]placements.LimitStatement{server: statement}, time.Now())
-	send(listener.conn, agent, message{Limits: limits}, listener.logger)
+	listener.notifyTwo(agent, message{Limits: limits})
 }
 
-// NotifyCrash informs an agent of a crash that cut off a request of this entry.
+// notifyTwo sends the message to the agent and to another one, since datagrams get lost.
+func (listener *Listener) notifyTwo(agent netip.AddrPort, outgoing message) {
+	send(listener.conn, agent, outgoing, listener.logger)
+	agents := listener.agents()
+	if len(agents) < 2 {
+		return
+	}
+	second := agents[rand.IntN(len(agents))]
+	if second == agent {
+		second = agents[(slices.Index(agents, agent)+1)%len(agents)]
+	}
+	send(listener.conn, second, outgoing, listener.logger)
+}
+
+// NotifyCrash informs an agent and a second one of a crash that cut off a request of this
+// entry.
 func (listener *Listener) NotifyCrash(agent netip.AddrPort, crash quarantines.Crash) {
 	now := time.Now()
 	records, _ := quarantines.Records{}.With(crash, now)
-	send(listener.conn, agent, message{Crashes: encodeCrashes(records, now)}, listener.logger)
+	listener.notifyTwo(agent, message{Crashes: encodeCrashes(records, now)})
 }
 
-// NotifyLeaving informs an agent of a server that stated that it leaves.
+// NotifyLeaving informs an agent and a second one of a server that stated that it leaves.
 func (listener *Listener) NotifyLeaving(agent netip.AddrPort, server string, statement placements.LeavingStatement) {
 	servers := encodeLeaving(map[string]placements.LeavingStatement{server: statement}, time.Now())
-	send(listener.conn, agent, message{Leaving: servers}, listener.logger)
+	listener.notifyTwo(agent, message{Leaving: servers})
 }
 
 // Announce sends the announcement to all agents at once. Each renewal of a subscription
@@ -131,11 +153,26 @@
 func (listener *Listener) Announce() {
 	agents := listener.agents()
 	listener.setAgents(agents)
-	for _, agent := range agents {
-		listener.sendSubscription(agent)
+	for i, agent := range agents {
+		listener.sendSubscription(agent, listener.isExchangeDue(i, len(agents)))
 	}
 }
 
+// isExchangeDue reports whether statements are exchanged now with the agent that has this
+// place among count agents.
+func (listener *Listener) isExchangeDue(place, count int) bool {
+	listener.mutex.Lock()
+	defer listener.mutex.Unlock()
+	stride := (count + exchangedAgents - 1) / exchangedAgents
+	return (place+listener.exchangeTurn)%stride == 0
+}
+
+func (listener *Listener) nextExchangeTurn() {
+	listener.mutex.Lock()
+	defer listener.mutex.Unlock()
+	listener.exchangeTurn++
+}
+
 // AwaitAgent waits until an agent has answered the first subscription. It waits no longer
 // than the timeout, since there may be no agent.
 func (listener *Listener) AwaitAgent(ctx context.Context, timeout time.Duration) {
@@ -147,14 +184,18 @@
 	}
 }
 
-func (listener *Listener) sendSubscription(agent netip.AddrPort) {
+// sendSubscription renews the subscription at the agent. An exchange also tells it what
+// this entry has heard from servers, and asks for what the agent has heard.
+func (listener *Listener) sendSubscription(agent netip.AddrPort, isExchange bool) {
 	announcement := listener.source.Announcement()
 	now := time.Now()
-	send(listener.conn, agent, message{
-		Subscribe: true, Announcement: &announcement,
-		Limits: encodeLimits(listener.statements.OwnLimits(), now), Leaving: encodeLeaving(listener.statements.OwnLeaving(), now),
-		Crashes: encodeCrashes(listener.crashes.Own(now), now), NeedsCrashes: listener.isSilent(agent, now),
-	}, listener.logger)
+	subscription := message{Subscribe: true, Announcement: &announcement, NeedsCrashes: listener.isSilent(agent, now), NeedsStatements: isExchange}
+	if isExchange {
+		subscription.Limits = encodeLimits(listener.statements.OwnLimits(), now)
+		subscription.Leaving = encodeLeaving(listener.statements.OwnLeaving(), now)
+		subscription.Crashes = encodeCrashes(listener.crashes.Own(now), now)
+	}
+	send(listener.conn, agent, subscription, listener.logger)
 }
 
 // isSilent reports whether the entry may have missed what the agent repeats. It has if it
@@ -194,6 +235,7 @@
 func (listener *Listener) subscribe(ctx context.Context) {
 	var agents []netip.AddrPort
 	renewedAt := map[netip.AddrPort]time.Time{}
+	turnEndsAt := time.Now().Add(subscribeInterval)
 	for tick := time.NewTicker(subscribeInterval / 10); ; {
 		if current := listener.agents(); !slices.Equal(current, agents) {
 			agents = current
@@ -201,12 +243,16 @@
 			maps.DeleteFunc(renewedAt, func(agent netip.AddrPort, _ time.Time) bool { return !slices.Contains(agents, agent) })
 		}
 		now := time.Now()
-		for _, agent := range agents {
+		if now.After(turnEndsAt) {
+			turnEndsAt = now.Add(subscribeInterval)
+			listener.nextExchangeTurn()
+		}
+		for i, agent := range agents {
 			if now.Sub(renewedAt[agent]) < subscribeInterval {
 				continue
 			}
 			renewedAt[agent] = now
-			listener.sendSubscription(agent)
+			listener.sendSubscription(agent, listener.isExchangeDue(i, len(agents)))
 		}
 		select {
 		case <-ctx.Done():
--- a/lib/loads/loads.go
+++ b/lib/loads/loads.go
@@ -33,20 +33,22 @@
 
 type (
 	// message is the only kind of datagram. Entries set Subscribe, Announcement, Request,
-	// Limits and Leaving, which they have heard from servers, Crashes, and NeedsCrashes, which
-	// requests the crashes for which traits are quarantined. Agents set Report, Crashes where
+	// Limits and Leaving, which they have heard from servers, Crashes, NeedsStatements, which
+	// requests all current statements and crashes, and NeedsCrashes, which requests the
+	// crashes for which traits are quarantined. Agents set Report, Crashes where
 	// they are requested, and NeedsServices, which requests an announcement with the
 	// parameters of the engines and origins.
 	message struct {
-		Subscribe     bool                     `json:"subscribe,omitempty"`
-		Announcement  *directives.Announcement `json:"news,omitempty"`
-		NeedsServices bool                     `json:"ask,omitempty"`
-		Request       *request                 `json:"request,omitempty"`
-		Limits        map[string]limit         `json:"limits,omitempty"`
-		Crashes       *crashes                 `json:"crashes,omitempty"`
-		NeedsCrashes  bool                     `json:"ask_crashes,omitempty"`
-		Leaving       map[string]leaving       `json:"leaving,omitempty"`
-		Report        *report                  `json:"report,omitempty"`
+		Subscribe       bool                     `json:"subscribe,omitempty"`
+		Announcement    *directives.Announcement `json:"news,omitempty"`
+		NeedsServices   bool                     `json:"ask,omitempty"`
+		Request         *request                 `json:"request,omitempty"`
+		Limits          map[string]limit         `json:"limits,omitempty"`
+		Crashes         *crashes                 `json:"crashes,omitempty"`
+		NeedsCrashes    bool                     `json:"ask_crashes,omitempty"`
+		NeedsStatements bool                     `json:"ask_statements,omitempty"`
+		Leaving         map[string]leaving       `json:"leaving,omitempty"`
+		Report          *report                  `json:"report,omitempty"`
 	}
 
 	// request reports the progress of a request of an entry. Tokens is zero once its
--- a/lib/loads/reporter.go
+++ b/lib/loads/reporter.go
@@ -24,6 +24,9 @@
 	subscriptionLifetime = 3500 * time.Millisecond
 	// refreshInterval is how often an unchanged report is sent again.
 	refreshInterval = 450 * time.Millisecond
+	// maxNewsAge is how old a statement may be that an agent passes on when it hears it in a
+	// subscription. An older one has reached all entries by then or is asked for.
+	maxNewsAge = 1500 * time.Millisecond
 	// promptLifetime is longer than any prompt waits, and maxPendingPrompts is more than
 	// an engine can queue.
 	promptLifetime    = 3 * time.Second
@@ -55,6 +58,7 @@
 		limits         map[string]placements.LimitStatement
 		crashes        quarantines.Records
 		leaving        map[string]placements.LeavingStatement
+		news           newsQueue
 		last           placements.Report
 		lastSent       time.Time
 	}
@@ -87,15 +91,36 @@
 	if incoming.Subscribe {
 		reporter.subscribe(from)
 	}
-	hasNewLimit := reporter.recordLimits(decodeLimits(incoming.Limits, now))
-	hasNewLeaving := reporter.recordLeaving(decodeLeaving(incoming.Leaving, now))
-	hasNewCrash := reporter.recordCrashes(decodeCrashes(incoming.Crashes, now), now)
-	// A subscription tells all agents the same, and their next reports are soon enough.
-	if hasNewLimit || (hasNewLeaving || hasNewCrash) && !incoming.Subscribe {
-		reporter.sendLast()
+	heard := news{
+		limits: decodeLimits(incoming.Limits, now), leaving: decodeLeaving(incoming.Leaving, now), crashes: decodeCrashes(incoming.Crashes, now),
+	}
+	if reporter.recordNews(heard, incoming.Subscribe, now) {
+		reporter.sendNews()
+	}
+	if incoming.NeedsStatements {
+		reporter.sendStatements(from, now)
 	}
 }
 
+// recordNews records what an entry has heard, and reports whether the other entries have
+// to be told at once. What a subscription repeats for long is not passed on again.
+func (reporter *Reporter) recordNews(heard news, isSubscription bool, now time.Time) bool {
+	fresh := news{limits: reporter.recordLimits(heard.limits), leaving: reporter.recordLeaving(heard.leaving)}
+	if reporter.recordCrashes(heard.crashes, now) {
+		fresh.crashes = heard.crashes
+	}
+	if isSubscription {
+		fresh = fresh.since(now.Add(-maxNewsAge))
+	}
+	if fresh.isEmpty() {
+		return false
+	}
+	reporter.mutex.Lock()
+	defer reporter.mutex.Unlock()
+	reporter.news = reporter.news.with(fresh)
+	return true
+}
+
 // recordCrashes records the crashes that an entry has seen, and reports whether one is
 // new.
 func (reporter *Reporter) recordCrashes(heard quarantines.Records, now time.Time) (isNew bool) {
@@ -115,19 +140,21 @@
 	}
 }
 
-// recordLimits records the limits that an entry has heard, and reports whether one has
+// recordLimits records the limits that an entry has heard, and returns those that have
 // changed.
-func (reporter *Reporter) recordLimits(heard map[string]placements.LimitStatement) bool {
+func (reporter *Reporter) recordLimits(heard map[string]placements.LimitStatement) map[string]placements.LimitStatement {
 	reporter.mutex.Lock()
 	defer reporter.mutex.Unlock()
-	changed := false
+	changed := map[string]placements.LimitStatement{}
 	for server, statement := range heard {
 		known, isKnown := reporter.limits[server]
 		if isKnown && !statement.HeardAt.After(known.HeardAt) || !isKnown && len(reporter.limits) >= maxLimits {
 			continue
 		}
 		reporter.limits[server] = statement
-		changed = changed || known.PerS != statement.PerS
+		if !isKnown || known.PerS != statement.PerS {
+			changed[server] = statement
+		}
 	}
 	return changed
 }
@@ -145,21 +172,23 @@
 	return current
 }
 
-// recordLeaving records the leaving servers that an entry has heard of, and reports
-// whether one is new.
-func (reporter *Reporter) recordLeaving(heard map[string]placements.LeavingStatement) bool {
+// recordLeaving records the leaving servers that an entry has heard of, and returns those
+// that are new.
+func (reporter *Reporter) recordLeaving(heard map[string]placements.LeavingStatement) map[string]placements.LeavingStatement {
 	reporter.mutex.Lock()
 	defer reporter.mutex.Unlock()
-	isNew := false
+	fresh := map[string]placements.LeavingStatement{}
 	for server, statement := range heard {
 		known, isKnown := reporter.leaving[server]
 		if isKnown && !statement.HeardAt.After(known.HeardAt) || !isKnown && len(reporter.leaving) >= maxLeaving {
 			continue
 		}
 		reporter.leaving[server] = statement
-		isNew = isNew || !isKnown || statement.StartedUnixMilli > known.StartedUnixMilli
+		if !isKnown || statement.StartedUnixMilli > known.StartedUnixMilli {
+			fresh[server] = statement
+		}
 	}
-	return isNew
+	return fresh
 }
 
 // currentLeaving returns the servers that leave, as long as that is passed on. The
@@ -176,19 +205,41 @@
 	return current
 }
 
-// sendLast sends the last report again, with the present limits and leaving servers.
-func (reporter *Reporter) sendLast() {
+// sendNews sends the last report again, with what was heard just now.
+func (reporter *Reporter) sendNews() {
 	now := time.Now()
 	reporter.mutex.Lock()
-	reporter.last.Limits, reporter.last.Leaving = reporter.currentLimits(now), reporter.currentLeaving(now)
-	reporter.last.Crashes = reporter.crashes.Recent(now)
 	last, to := reporter.last, reporter.currentSubscribers(now)
+	if last.Server != "" && len(to) > 0 {
+		last = reporter.withNews(last, now)
+	}
 	reporter.mutex.Unlock()
 	if last.Server != "" {
 		reporter.sendTo(to, to, last)
 	}
 }
 
+// withNews returns the report with the news, which count as sent once more. The caller
+// holds the mutex.
+func (reporter *Reporter) withNews(next placements.Report, now time.Time) placements.Report {
+	var sent news
+	sent, reporter.news = reporter.news.take(now)
+	next.Limits, next.Leaving, next.Crashes = sent.limits, sent.leaving, sent.crashes
+	return next
+}
+
+// sendStatements sends an entry all that is current.
+func (reporter *Reporter) sendStatements(to netip.AddrPort, now time.Time) {
+	reporter.mutex.Lock()
+	last, all := reporter.last, reporter.currentSubscribers(now)
+	last.Limits, last.Leaving = reporter.currentLimits(now), reporter.currentLeaving(now)
+	last.Crashes = reporter.crashes.Recent(now)
+	reporter.mutex.Unlock()
+	if last.Server != "" && len(last.Limits)+len(last.Leaving)+len(last.Crashes.Crashes()) > 0 {
+		reporter.sendTo([]netip.AddrPort{to}, all, last)
+	}
+}
+
 // subscribe adds or renews a subscription, and sends the last report to a new
 // subscriber.
 func (reporter *Reporter) subscribe(from netip.AddrPort) {
@@ -251,8 +302,6 @@
 	now := time.Now()
 	reporter.mutex.Lock()
 	next.Pending = reporter.pendingTokens(now)
-	next.Limits, next.Leaving = reporter.currentLimits(now), reporter.currentLeaving(now)
-	next.Crashes = reporter.crashes.Recent(now)
 	if equal(next, reporter.last) && now.Sub(reporter.lastSent) < refreshInterval {
 		reporter.mutex.Unlock()
 		return
@@ -260,6 +309,9 @@
 	next.Number = reporter.last.Number + 1
 	reporter.last, reporter.lastSent = next, now
 	to := reporter.currentSubscribers(now)
+	if len(to) > 0 {
+		next = reporter.withNews(next, now)
+	}
 	reporter.mutex.Unlock()
 	reporter.sendTo(to, to, next)
 }
