Let agents of large fleets ask a sample of peers which pieces they have

Cause, by reading and by docs/CAPACITY.md ("a sample of peers would do; not built"): an agent that lacks pieces asks all others four times a second who has them, and each agent that plans asks all of them.

Change: up to 32 peers as before. In a larger fleet an agent asks 16: up to half of them those that read missing pieces or bring them into the region, then others, mostly of its region. Nobody is left out of a plan there, because agents that ask different peers would plan differently; so the number of agents that may read a piece in place of another is doubled each 0.6 s of pulling, instead of only after a failed fetch.

--- a/lib/stagings/fetch.go
+++ b/lib/stagings/fetch.go
@@ -229,7 +229,8 @@
 func (node *Node) pullMissing(ctx context.Context, content *content, target Target) {
 	began := time.Now()
 	for !content.complete() && time.Since(began) < pullTimeout && ctx.Err() == nil && node.isWanted(content) {
-		plan := node.computePlan(target, node.probePeers(content))
+		peers := node.probePeers(content, target)
+		plan := node.computePlan(target, peers, replacementDoublings(peers, time.Since(began)))
 		available := plan.available(content.missing(), time.Since(began) > replaceReaderAfter)
 		if len(available) == 0 {
 			waits.Sleep(ctx, pullInterval)
@@ -239,6 +240,16 @@
 	}
 }
 
+// replacementDoublings returns how many times the number of agents that may replace readers
+// of the origin is doubled after pulling for this long. Where peers are sampled, readers
+// that have stopped stay in the plan, as may those that replace them.
+func replacementDoublings(peers []Peer, elapsed time.Duration) int {
+	if !isSampled(peers) {
+		return 0
+	}
+	return max(0, int(elapsed/replaceReaderAfter)-1)
+}
+
 // expectsPushes reports whether other agents are expected to push missing pieces.
 func (node *Node) expectsPushes(plan Plan, content *content) bool {
 	for _, piece := range content.missing() {
--- a/lib/stagings/node.go
+++ b/lib/stagings/node.go
@@ -435,14 +435,15 @@
 	if isPlanned {
 		return plan
 	}
-	return node.computePlan(target, node.FleetView().Peers)
+	return node.computePlan(target, node.FleetView().Peers, 0)
 }
 
-// computePlan makes the plan for the target and caches it until the next one.
-func (node *Node) computePlan(target Target, peers []Peer) Plan {
+// computePlan makes the plan for the target and caches it until the next one. Doublings is
+// how many times more agents than after the last fetch may replace readers of the origin.
+func (node *Node) computePlan(target Target, peers []Peer, doublings int) Plan {
 	node.mutex.Lock()
 	defer node.mutex.Unlock()
-	input := PlanInput{Self: node.Self, Peers: peers, FailedFetches: node.failedFetches[target.Version]}
+	input := PlanInput{Self: node.Self, Peers: peers, FailedFetches: node.failedFetches[target.Version] + doublings}
 	plan := NewPlan(versionKey(target.Model, target.Version), max(1, target.Pieces), input)
 	node.plans[target.Version] = plan
 	return plan
@@ -459,11 +460,11 @@
 	if isPlanned {
 		return plan
 	}
-	peers := node.probePeers(content)
+	peers := node.probePeers(content, target)
 	if isFirst {
 		peers = withoutFirstPieces(peers, len(content.manifest.Digests))
 	}
-	return node.computePlan(target, peers)
+	return node.computePlan(target, peers, 0)
 }
 
 // dropPlan makes the next call of distributionPlan plan again.
