--- a/cmd/entry/routed/routed.go
+++ b/cmd/entry/routed/routed.go
@@ -43,6 +43,10 @@
 	// changes at once would fill the links between regions.
 	operatorPollPause = 150 * time.Millisecond
 	serverPollPause   = 500 * time.Millisecond
+	// operatorBytesPerS bounds what an entry draws of the operator's table when that
+	// changes all the time: a few entries share a link between regions of 2.5 MB/s, which
+	// also carries answers and pieces of weights.
+	operatorBytesPerS = 300_000
 	// storeProbeInterval bounds, with its jitter of a half, how late an entry notices that
 	// the store answers again. Servers that are missing from the list are kept that much
 	// shorter.
@@ -378,7 +382,7 @@
 // versionMargin before it is due.
 func (entry *entry) newFollower() *directives.Follower {
 	return directives.New(directives.Dependencies{
-		Feed: entry.store, Table: adapter.OperatorTable, PollWait: operatorPollWait, PollPause: operatorPollPause,
+		Feed: entry.store, Table: adapter.OperatorTable, PollWait: operatorPollWait, PollPause: operatorPollPause, BytesPerS: operatorBytesPerS,
 		RestorePause: storeRestorePause, Reachability: entry.reachability,
 		VersionTimeout: entry.settings.VersionTimeout - versionMargin, EarlierVersionTimeout: earlierVersionTimeout,
 		Decode: adapter.DecodeDesiredState, RoutesChanged: entry.applyRoutes, VersionAnnounced: entry.announceVersions,
--- a/lib/platform/calls.go
+++ b/lib/platform/calls.go
@@ -30,6 +30,18 @@
 	return ended.err == nil || errors.Is(ended.err, ErrHistoryLost)
 }
 
+// rowBytes returns the size of the values that the store answered with.
+func (ended call) rowBytes() int {
+	sum := 0
+	for _, row := range ended.rows {
+		sum += len(row.Value)
+	}
+	for _, change := range ended.changes {
+		sum += len(change.Row.Value)
+	}
+	return sum
+}
+
 // awaitAnswer calls the store until it answers. It returns false if the context ends
 // before.
 func (state *watcherState) awaitAnswer(ctx context.Context) (call, bool) {
--- a/lib/platform/watcher.go
+++ b/lib/platform/watcher.go
@@ -19,6 +19,9 @@
 	// lost. It spreads the processes that are told so at the same time.
 	maxHistoryPause       = 100 * time.Millisecond
 	millisecondsPerSecond = 1000
+	// maxTransferPause bounds the pause after a large answer, and so how much later the
+	// next change is known.
+	maxTransferPause = 800 * time.Millisecond
 )
 
 // ErrHistoryLost is returned by Feed.Changes when the store no longer holds the
@@ -58,7 +61,8 @@
 
 	// Watcher follows one table. PollWait is how long a poll waits for a change.
 	// PollPause returns the pause between two polls, which lets one poll return several
-	// changes that are made within a short time. After the store came back from an older
+	// changes that are made within a short time. If BytesPerS is positive, the pause is at
+	// least as long as the rows of the answer take at that rate, up to maxTransferPause. After the store came back from an older
 	// copy, the table is read again within RestorePause. Reachability is shared by the
 	// watchers of a process.
 	Watcher struct {
@@ -66,6 +70,7 @@
 		Table        string
 		PollWait     time.Duration
 		PollPause    func() time.Duration
+		BytesPerS    int
 		RestorePause time.Duration
 		Reachability *Reachability
 		// Wake ends a pause between two polls early. It may be nil.
@@ -127,7 +132,7 @@
 	switch state.apply(answered, time.Now()) {
 	case upToDate:
 		state.recordSuccess()
-		state.pauseBetweenPolls(ctx)
+		state.pauseBetweenPolls(ctx, max(state.PollPause(), state.transferPause(answered)))
 	case historyLost:
 		state.Logger.Info("store history lost", zap.String("table", state.Table), zap.Int64("revision", state.view.Revision))
 		state.hasView = false
@@ -138,12 +143,23 @@
 	}
 }
 
+// transferPause returns how long the rows of the answer take at BytesPerS. A change of a
+// large row transfers all of it, and many such changes would fill a link that carries
+// other traffic.
+func (state *watcherState) transferPause(answered call) time.Duration {
+	if state.BytesPerS <= 0 {
+		return 0
+	}
+	transfer := float64(answered.rowBytes()) / float64(state.BytesPerS) * float64(time.Second)
+	return min(time.Duration(transfer), maxTransferPause)
+}
+
 // pauseBetweenPolls waits for the pause between two polls or until it is ended early.
-func (state *watcherState) pauseBetweenPolls(ctx context.Context) {
+func (state *watcherState) pauseBetweenPolls(ctx context.Context, duration time.Duration) {
 	select {
 	case <-ctx.Done():
 	case <-state.Wake:
-	case <-time.After(state.PollPause()):
+	case <-time.After(duration):
 	}
 }
 
