--- a/cmd/entry/routed/routed.go
+++ b/cmd/entry/routed/routed.go
@@ -47,6 +47,9 @@
 	// changes all the time: a few entries share a link between regions of 2.5 MB/s, which
 	// also carries answers and pieces of weights.
 	operatorBytesPerS = 300_000
+	// transferPauseShare is the part of the time for a configuration that an entry may
+	// pause after a large one. The next one has to cross the same links in the rest.
+	transferPauseShare = 4
 	// storeProbeInterval bounds, with its jitter of a half, how late an entry notices that
 	// the store answers again. Servers that are missing from the list are kept that much
 	// shorter.
@@ -383,7 +386,8 @@
 func (entry *entry) newFollower() *directives.Follower {
 	return directives.New(directives.Dependencies{
 		Feed: entry.store, Table: adapter.OperatorTable, PollWait: operatorPollWait, PollPause: operatorPollPause, BytesPerS: operatorBytesPerS,
-		RestorePause: storeRestorePause, Reachability: entry.reachability,
+		MaxTransferPause: entry.settings.ConfigurationTime / transferPauseShare,
+		RestorePause:     storeRestorePause, Reachability: entry.reachability,
 		VersionTimeout: entry.settings.VersionTimeout - versionMargin, EarlierVersionTimeout: earlierVersionTimeout,
 		Decode: adapter.DecodeDesiredState, RoutesChanged: entry.applyRoutes, VersionAnnounced: entry.announceVersions,
 		Logger: entry.logger, Scope: entry.metrics.Scope,
--- a/lib/directives/directives.go
+++ b/lib/directives/directives.go
@@ -38,7 +38,7 @@
 
 	// Dependencies are the dependencies of a follower. PollWait is how long a poll of
 	// the table waits for changes, and PollPause the pause between two polls. See
-	// platform.Watcher for BytesPerS, RestorePause and Reachability.
+	// platform.Watcher for BytesPerS, MaxTransferPause, RestorePause and Reachability.
 	// VersionTimeout is the time within which a version must be in use, counted from
 	// when this process first sees it, and EarlierVersionTimeout the same for a version
 	// that was announced before the process started. RoutesChanged is called with each
@@ -49,6 +49,7 @@
 		PollWait              time.Duration
 		PollPause             time.Duration
 		BytesPerS             int
+		MaxTransferPause      time.Duration
 		RestorePause          time.Duration
 		Reachability          *platform.Reachability
 		VersionTimeout        time.Duration
@@ -92,7 +93,7 @@
 func (follower *Follower) Run(ctx context.Context) {
 	platform.Watcher{
 		Feed: follower.Feed, Table: follower.Table, PollWait: follower.PollWait, PollPause: platform.FixedPause(follower.PollPause),
-		BytesPerS: follower.BytesPerS, RestorePause: follower.RestorePause, Reachability: follower.Reachability,
+		BytesPerS: follower.BytesPerS, MaxTransferPause: follower.MaxTransferPause, RestorePause: follower.RestorePause, Reachability: follower.Reachability,
 		Logger: follower.Logger, Scope: follower.Scope, OnUpdate: func(view platform.View) { follower.applyView(view, time.Now()) },
 	}.Run(ctx)
 }
--- a/lib/platform/transfer_pause_test.go
+++ b/lib/platform/transfer_pause_test.go
@@ -37,6 +37,8 @@
 		rowBytes  = 240_000
 		perSecond = 300_000
 		duration  = 10 * time.Second
+
+		maxTransferPause = 800 * time.Millisecond
 	)
 	read := func(bytes int) (sum int, widestGap time.Duration) {
 		synctest.Test(t, func(*testing.T) {
@@ -44,7 +46,7 @@
 			feed := &changingFeed{value: make([]byte, bytes)}
 			last := time.Now()
 			watcher := Watcher{
-				Feed: feed, Table: "op", PollWait: time.Second, PollPause: FixedPause(150 * time.Millisecond), BytesPerS: perSecond,
+				Feed: feed, Table: "op", PollWait: time.Second, PollPause: FixedPause(150 * time.Millisecond), BytesPerS: perSecond, MaxTransferPause: maxTransferPause,
 				Reachability: NewReachability(feed, retryInterval), Logger: zap.NewNop(), Scope: tally.NoopScope,
 				OnUpdate: func(View) { widestGap, last = max(widestGap, time.Since(last)), time.Now() },
 			}
--- a/lib/platform/watcher.go
+++ b/lib/platform/watcher.go
@@ -19,9 +19,6 @@
 	// lost. It spreads the processes that are told so at the same time.
 	maxHistoryPause       = 100 * time.Millisecond
 	millisecondsPerSecond = 1000
-	// maxTransferPause bounds the pause after a large answer, and so how much later the
-	// next change is known.
-	maxTransferPause = 800 * time.Millisecond
 )
 
 // ErrHistoryLost is returned by Feed.Changes when the store no longer holds the
@@ -62,17 +59,19 @@
 	// Watcher follows one table. PollWait is how long a poll waits for a change.
 	// PollPause returns the pause between two polls, which lets one poll return several
 	// changes that are made within a short time. If BytesPerS is positive, the pause is at
-	// least as long as the rows of the answer take at that rate, up to maxTransferPause. After the store came back from an older
+	// least as long as the rows of the answer take at that rate, up to MaxTransferPause. After the store came back from an older
 	// copy, the table is read again within RestorePause. Reachability is shared by the
 	// watchers of a process.
 	Watcher struct {
-		Feed         Feed
-		Table        string
-		PollWait     time.Duration
-		PollPause    func() time.Duration
-		BytesPerS    int
-		RestorePause time.Duration
-		Reachability *Reachability
+		Feed      Feed
+		Table     string
+		PollWait  time.Duration
+		PollPause func() time.Duration
+		BytesPerS int
+		// MaxTransferPause bounds how much later a change after a large one is known.
+		MaxTransferPause time.Duration
+		RestorePause     time.Duration
+		Reachability     *Reachability
 		// Wake ends a pause between two polls early. It may be nil.
 		Wake   <-chan struct{}
 		Logger *zap.Logger
@@ -151,7 +150,7 @@
 		return 0
 	}
 	transfer := float64(answered.rowBytes()) / float64(state.BytesPerS) * float64(time.Second)
-	return min(time.Duration(transfer), maxTransferPause)
+	return min(time.Duration(transfer), state.MaxTransferPause)
 }
 
 // pauseBetweenPolls waits for the pause between two polls or until it is ended early.
--- a/lib/processes/routed.go
+++ b/lib/processes/routed.go
@@ -14,9 +14,12 @@
 )
 
 const (
-	defaultVersionTimeout  = 8 * time.Second
-	defaultReconnectTime   = 3 * time.Second
-	maxReconnectTime       = time.Minute
+	defaultVersionTimeout = 8 * time.Second
+	defaultReconnectTime  = 3 * time.Second
+	maxReconnectTime      = time.Minute
+	// Changes of the configuration have to be in force within seconds.
+	defaultApplyTime       = 2 * time.Second
+	maxApplyTime           = time.Minute
 	maxVersionTimeout      = 10 * time.Minute
 	defaultShutdownTimeout = 8 * time.Second
 	maxShutdownTimeout     = 10 * time.Minute
@@ -48,11 +51,14 @@
 
 	// RoutedEntry holds the settings of a routed entry. ReconnectTime is how long after
 	// the end of an outage or a partition it must know again what the store holds.
+	// ConfigurationTime is how long after its acknowledgement a configuration must be in
+	// force.
 	RoutedEntry struct {
 		Routed
-		ReconnectTime  time.Duration
-		CallersAddress string
-		AdminAddress   string
+		ReconnectTime     time.Duration
+		ConfigurationTime time.Duration
+		CallersAddress    string
+		AdminAddress      string
 	}
 
 	// RoutedAgent holds the settings of a routed agent.
@@ -72,10 +78,11 @@
 	}
 	listen := file.Section("listen")
 	entry := RoutedEntry{
-		Routed:         parseRouted(file),
-		CallersAddress: listen.Address("callers"),
-		AdminAddress:   listen.Address("admin"),
-		ReconnectTime:  file.Section("limits").Duration("reconnect_time", defaultReconnectTime, time.Second, maxReconnectTime),
+		Routed:            parseRouted(file),
+		CallersAddress:    listen.Address("callers"),
+		AdminAddress:      listen.Address("admin"),
+		ReconnectTime:     file.Section("limits").Duration("reconnect_time", defaultReconnectTime, time.Second, maxReconnectTime),
+		ConfigurationTime: file.Section("limits").Duration("configuration_time", defaultApplyTime, time.Second, maxApplyTime),
 	}
 	return entry, file.Findings().Err()
 }
