Leave pieces to the agents that are still reading them, and read in turn after an outage of the origin

Change: in a fleet of over 32 agents a reader that answers is replaced only from the second failed fetch on; an agent reads one piece at a time in place of others; the doubling by pulling time is gone. A read that failed is tried again after a delay that doubles up to the agent's part of the time for a copy, with a random part.

--- a/lib/stagings/fetch.go
+++ b/lib/stagings/fetch.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -196,7 +197,7 @@
 		if !target.AnnouncedAt.IsZero() {
 			waits.Sleep(ctx, time.Until(target.AnnouncedAt.Add(pieceTime*time.Duration(piece))))
 		}
-		node.fetchPiece(ctx, content, piece, node.planFor(target).Sources(piece), time.Now())
+		node.fetchPiece(ctx, content, piece, node.planFor(target), time.Now())
 	}
 	node.fetchAll(ctx, content, target, ownMissing(content, node.planFor(target)), time.Now().Add(pendingTimeout))
 	node.Logger.Info("own pieces read from the origin", zap.Int("version", target.Version), zap.Int("pieces", len(pieces)),
@@ -229,8 +230,7 @@
 func (node *Node) pullMissing(ctx context.Context, content *content, target Target) {
 	began := time.Now()
 	for !content.complete() && time.Since(began) < pullTimeout && ctx.Err() == nil && node.isWanted(content) {
-		peers := node.probePeers(content, target)
-		plan := node.computePlan(target, peers, replacementDoublings(peers, time.Since(began)))
+		plan := node.computePlan(target, node.probePeers(content, target))
 		available := plan.available(content.missing(), time.Since(began) > replaceReaderAfter)
 		if len(available) == 0 {
 			waits.Sleep(ctx, pullInterval)
@@ -240,16 +240,6 @@
 	}
 }
 
-// replacementDoublings returns how many times the number of agents that may replace readers
-// of the origin is doubled after pulling for this long. Where peers are sampled, readers
-// that have stopped stay in the plan, as may those that replace them.
-func replacementDoublings(peers []Peer, elapsed time.Duration) int {
-	if !isSampled(peers) {
-		return 0
-	}
-	return max(0, int(elapsed/replaceReaderAfter)-1)
-}
-
 // expectsPushes reports whether other agents are expected to push missing pieces.
 func (node *Node) expectsPushes(plan Plan, content *content) bool {
 	for _, piece := range content.missing() {
@@ -316,7 +306,7 @@
 	for range node.fetchWorkers() {
 		group.Go(func() {
 			for piece := range queue {
-				if ctx.Err() == nil && node.isWanted(content) && node.fetchPiece(ctx, content, piece, node.planFor(target).Sources(piece), deadline) {
+				if ctx.Err() == nil && node.isWanted(content) && node.fetchPiece(ctx, content, piece, node.planFor(target), deadline) {
 					queue <- piece
 					continue
 				}
@@ -362,11 +352,12 @@
 	_ = group.Wait() // The calls return no errors.
 }
 
-// fetchPiece tries the sources in turn until one delivers the piece. It returns
-// true if the piece should be tried again later: its source is still fetching it,
+// fetchPiece tries the sources of the plan in turn until one delivers the piece. It
+// returns true if the piece should be tried again later: its source is still fetching it,
 // or the only source failed, and the deadline has not passed.
-func (node *Node) fetchPiece(ctx context.Context, content *content, piece int, sources []Source, deadline time.Time) (pending bool) {
-	manifest := content.manifest
+func (node *Node) fetchPiece(ctx context.Context, content *content, piece int, plan Plan, deadline time.Time) (pending bool) {
+	sources := plan.Sources(piece)
+	isBeingRead := false
 	for _, source := range sources {
 		if body, _ := content.get(piece); body != nil {
 			return false
@@ -374,11 +365,15 @@
 		if !source.Origin && node.isSuspect(source.Host.Name) {
 			continue
 		}
-		body, err := node.requestPiece(ctx, source, manifest, piece)
+		if source.Origin && isBeingRead && !plan.mayReplaceLiveReader() {
+			return time.Now().Before(deadline)
+		}
+		body, err := node.requestPiece(ctx, source, content, piece, plan)
 		isValid, isNew := false, false
 		if err == nil {
 			isValid, isNew = content.put(piece, body)
 		}
+		isBeingRead = isBeingRead || errors.Is(err, errPending) && source.Host.Name == plan.originReaders[piece].Name
 		switch {
 		case isValid:
 			node.countPiece(source.metricsTag(), len(body))
@@ -395,7 +390,7 @@
 			// No other agent reads this piece from the origin, so the read is retried.
 			node.Logger.Info("origin did not answer", zap.Int("piece", piece), zap.Bool("spoilt", err == nil), zap.Error(err))
 			if err != nil {
-				waits.Sleep(ctx, originRetryDelay)
+				waits.Sleep(ctx, node.originBackoff(content, plan))
 			}
 			return true
 		case err != nil && !source.Origin && !errors.Is(err, errPending):
@@ -418,11 +413,42 @@
 	return sourcePeer
 }
 
-func (node *Node) requestPiece(ctx context.Context, source Source, manifest Manifest, piece int) ([]byte, error) {
-	if source.Origin {
-		return node.Origin.Piece(ctx, manifest.Model, manifest.Version, piece)
+func (node *Node) requestPiece(ctx context.Context, source Source, content *content, piece int, plan Plan) ([]byte, error) {
+	manifest := content.manifest
+	if !source.Origin {
+		return node.peerClient.fetchPiece(source.Host.ChunkAddress, manifest.Model, manifest.Version, piece)
+	}
+	if !plan.IsOriginReader(piece) {
+		// One read in place of others at a time. Those that wait for a connection to the
+		// origin would read pieces that a peer has by then.
+		if !node.replacing.TryLock() {
+			return nil, errPending
+		}
+		defer node.replacing.Unlock()
+	}
+	body, err := node.Origin.Piece(ctx, manifest.Model, manifest.Version, piece)
+	if err != nil {
+		node.originFailures.Add(1)
+	} else {
+		node.originFailures.Store(0)
 	}
-	return node.peerClient.fetchPiece(source.Host.ChunkAddress, manifest.Model, manifest.Version, piece)
+	return body, err
+}
+
+// originBackoff returns how long to wait before a failed read from the origin is retried.
+// The delay doubles with each failure in a row, up to this agent's part of the time for a
+// copy, and has a random part: readers that all come back at once share the origin's link,
+// and each gets its piece only when the whole copy has been sent.
+func (node *Node) originBackoff(content *content, plan Plan) time.Duration {
+	manifest := content.manifest
+	copyTime := transferTime(manifest.PieceBytes*int64(len(manifest.Digests)), node.FleetView().OriginMbps)
+	longest := max(originRetryDelay, copyTime/time.Duration(max(1, len(ownMissing(content, plan)))))
+	doublings := min(max(0, node.originFailures.Load()-1), maxDoublings)
+	delay := min(originRetryDelay<<doublings, longest)
+	if delay <= originRetryDelay {
+		return delay
+	}
+	return delay/2 + time.Duration(rand.Int64N(int64(delay)/2))
 }
 
 // storePiece queues the pushes of a new piece and stages it at the engine.
--- a/lib/stagings/node.go
+++ b/lib/stagings/node.go
@@ -7,6 +7,7 @@
 	"context"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -132,8 +133,12 @@
 		stageMutex      sync.RWMutex
 		startingVersion int
 
-		// originMutex is held while this agent's own pieces are read from the origin.
-		originMutex sync.Mutex
+		// originMutex is held while this agent's own pieces are read from the origin, and
+		// replacing while it reads a piece in place of another agent. originFailures counts
+		// the reads that failed in a row.
+		originMutex    sync.Mutex
+		replacing      sync.Mutex
+		originFailures atomic.Int64
 
 		// receiving holds a token for each piece that a peer may be pushing here.
 		receiving chan struct{}
@@ -435,15 +440,14 @@
 	if isPlanned {
 		return plan
 	}
-	return node.computePlan(target, node.FleetView().Peers, 0)
+	return node.computePlan(target, node.FleetView().Peers)
 }
 
-// computePlan makes the plan for the target and caches it until the next one. Doublings is
-// how many times more agents than after the last fetch may replace readers of the origin.
-func (node *Node) computePlan(target Target, peers []Peer, doublings int) Plan {
+// computePlan makes the plan for the target and caches it until the next one.
+func (node *Node) computePlan(target Target, peers []Peer) Plan {
 	node.mutex.Lock()
 	defer node.mutex.Unlock()
-	input := PlanInput{Self: node.Self, Peers: peers, FailedFetches: node.failedFetches[target.Version] + doublings}
+	input := PlanInput{Self: node.Self, Peers: peers, FailedFetches: node.failedFetches[target.Version]}
 	plan := NewPlan(versionKey(target.Model, target.Version), max(1, target.Pieces), input)
 	node.plans[target.Version] = plan
 	return plan
@@ -464,7 +468,7 @@
 	if isFirst {
 		peers = withoutFirstPieces(peers, len(content.manifest.Digests))
 	}
-	return node.computePlan(target, peers, 0)
+	return node.computePlan(target, peers)
 }
 
 // dropPlan makes the next call of distributionPlan plan again.
--- a/lib/stagings/plan.go
+++ b/lib/stagings/plan.go
@@ -21,6 +21,9 @@
 	// in place of the responsible one, so that the loss of two of three agents does
 	// no harm.
 	baseReplacements = 2
+	// patientFetches is the number of failed fetches after which agents of a large fleet
+	// replace a reader that says that it is still reading.
+	patientFetches = 2
 	// maxDoublings limits how often that number is doubled. By then all agents of a
 	// fleet of the designed size may read the piece.
 	maxDoublings = 16
@@ -229,6 +232,14 @@
 	return list
 }
 
+// mayReplaceLiveReader reports whether an agent may read a piece from the origin although
+// the responsible one says that it is still reading. In a large fleet it usually is: when
+// the origin has been unavailable, some dozen agents that are in a hurry would have it send
+// several copies over its slow link.
+func (plan Plan) mayReplaceLiveReader() bool {
+	return len(plan.agents) <= maxSmallFleet+1 || plan.failedFetches >= patientFetches
+}
+
 // mayReplaceReader reports whether this agent may read the piece from the origin in
 // place of the responsible one.
 func (plan Plan) mayReplaceReader(piece int) bool {
--- a/lib/stagings/probe.go
+++ b/lib/stagings/probe.go
@@ -7,7 +7,7 @@
 // any agent, the plans of all agents agree. In a larger fleet it asks a sample: if each
 // agent asked all others, and again while pieces are missing, their hosts would do
 // nothing else. Nobody is left out there, since agents that ask different peers would
-// make different plans; the pieces of a reader that has stopped are read by others.
+// make different plans; other agents read the pieces of a reader that has stopped.
 
 import (
 	"errors"
--- a/lib/stagings/sample_test.go
+++ b/lib/stagings/sample_test.go
@@ -66,7 +66,7 @@
 			})
 			answers := node.probePeers(newContent(manifestOf(2, testPieces)), target)
 			convey.So(peers.asked, convey.ShouldEqual, size.asked)
-			convey.So(len(node.computePlan(target, answers, 0).agents), convey.ShouldEqual, size.peers)
+			convey.So(len(node.computePlan(target, answers).agents), convey.ShouldEqual, size.peers)
 		})
 	}
 }
