Let agents read from the store less often what entries send them

Each agent read the announced versions every 4 s although each entry sends them every second, and the list of servers every 4 to 8 s although it needs that only when a version is announced or its engine starts again.

Change: while an entry has sent the versions within 3 s, an agent pauses 8 s between two reads of them; it pauses 8 s instead of 4 s between two reads of the list, and its engine's restart ends that pause, which it did not before. Ruled out: not reading at all, since an agent that no entry reaches must still learn of a version.

cmd/agent/routed TestVersionsAreReadRarelyWhileEntriesSendThem, TestRestartEndsThePauseOfTheServerList.

--- a/cmd/agent/routed/routed.go
+++ b/cmd/agent/routed/routed.go
@@ -31,8 +31,13 @@
 
 const (
 	// storePollWait is how long polls of the store wait for changes. It is also the
-	// interval between reads of the announced versions, if no entry sends them sooner.
+	// interval between reads of the announced versions while no entry sends them.
 	storePollWait = 4 * time.Second
+	// announcedPollPause is the pause between two such reads while entries send the
+	// versions, which they do each second, and announcedTime how long one announcement
+	// shows that they do. Each call to the store is charged.
+	announcedPollPause = 8 * time.Second
+	announcedTime      = 3 * time.Second
 	// storeProbeInterval bounds the interval between probes of a store that does not answer,
 	// and storeRestorePause spreads the reads after it came back from an older copy. Both
 	// are longer than those of entries, since there are several agents for each entry and
@@ -43,9 +48,9 @@
 	// server list, which changes with each engine that loads a version. For up to
 	// registrationTimeout after its engine has started, an agent must find out soon
 	// under which id the platform lists the engine. Later it needs the list only to
-	// find its peers, which it probes before it plans a fetch.
+	// find its peers, and reads it when a version is announced.
 	unlistedPollPause   = 300 * time.Millisecond
-	listedPollPause     = 4 * time.Second
+	listedPollPause     = 8 * time.Second
 	registrationTimeout = 12 * time.Second
 	// An agent waits for parametersTimeout, plus a random part of parametersJitter,
 	// for an entry to send it the parameters of the engines: entries that start at
@@ -81,6 +86,8 @@
 		// Both are nil at first.
 		lastRestart atomic.Pointer[restart]
 		status      atomic.Pointer[stagings.Status]
+		// announcedAt is when an entry last sent the versions, nil if none has.
+		announcedAt atomic.Pointer[time.Time]
 	}
 
 	// restart is a restart of the engine: when the agent noticed it, and the id under
@@ -116,7 +123,7 @@
 	agent.reachability = platform.NewReachability(agent.store, storeProbeInterval)
 	agent.operatorFeed = directives.NewPrefixFeed(agent.store, agent.store, adapter.VersionKeyPrefix)
 	agent.follower = directives.New(directives.Dependencies{
-		Feed: agent.operatorFeed, Table: adapter.OperatorTable, PollWait: storePollWait, RestorePause: storeRestorePause, Reachability: agent.reachability,
+		Feed: agent.operatorFeed, Table: adapter.OperatorTable, PollWait: storePollWait, PollPause: agent.versionPollPause, RestorePause: storeRestorePause, Reachability: agent.reachability,
 		VersionTimeout: settings.VersionTimeout,
 		Decode:         adapter.DecodeDesiredState, RoutesChanged: func(routes.Table) {}, VersionAnnounced: agent.refreshServers, Logger: logger, Scope: agent.metrics.Scope,
 	})
@@ -192,7 +199,8 @@
 }
 
 // refreshServers makes the agent read the server list now. The plan of a version that
-// was just announced must not count on agents whose engines are leaving.
+// was just announced must not count on agents whose engines are leaving, and an engine that
+// has restarted gets another entry.
 func (agent *agent) refreshServers() { signal(agent.serversWanted) }
 
 // serverPollPause returns the pause between two polls of the server list.
@@ -241,7 +249,17 @@
 // applyAnnouncement applies the announcement of an entry. It returns true if the
 // agent needs the engine parameters from the entry.
 func (agent *agent) applyAnnouncement(announcement directives.Announcement) (needsServices bool) {
-	return agent.follower.ApplyAnnouncement(announcement, time.Now())
+	now := time.Now()
+	agent.announcedAt.Store(&now)
+	return agent.follower.ApplyAnnouncement(announcement, now)
+}
+
+// versionPollPause returns the pause between two reads of the announced versions.
+func (agent *agent) versionPollPause() time.Duration {
+	if announcedAt := agent.announcedAt.Load(); announcedAt != nil && time.Since(*announcedAt) < announcedTime {
+		return announcedPollPause
+	}
+	return 0
 }
 
 // ensureParameters reads the whole configuration if no entry sends the engine
@@ -361,6 +379,7 @@
 	server, isListed := agent.listedServer()
 	if last != nil && hasRestarted(*last, status) {
 		agent.lastRestart.Store(&restart{seenAt: time.Now(), formerID: server.ID})
+		agent.refreshServers()
 	}
 	if !isListed {
 		return
--- a/cmd/agent/routed/routed_test.go
+++ b/cmd/agent/routed/routed_test.go
@@ -65,6 +65,37 @@
 	})
 }
 
+// Guards against agents that read from the store what entries send them each second: with
+// 203 agents, calls to the store cost a tenth of a day's worth. While no entry sends the
+// versions, agents have to read them.
+func TestVersionsAreReadRarelyWhileEntriesSendThem(t *testing.T) {
+	convey.Convey("Given an agent that has heard from no entry, it reads the versions without a pause", t, func() {
+		agent := newAgent()
+		convey.So(agent.versionPollPause(), convey.ShouldEqual, 0)
+		convey.Convey("Then it pauses while entries send them, and no longer", func() {
+			agent.applyAnnouncement(directives.Announcement{})
+			convey.So(agent.versionPollPause(), convey.ShouldEqual, announcedPollPause)
+			old := time.Now().Add(-announcedTime)
+			agent.announcedAt.Store(&old)
+			convey.So(agent.versionPollPause(), convey.ShouldEqual, 0)
+		})
+	})
+}
+
+// Guards against an agent that reports under the id of its engine's earlier start until the
+// long pause between two reads of the server list is over.
+func TestRestartEndsThePauseOfTheServerList(t *testing.T) {
+	convey.Convey("Given an agent whose engine is listed and starts again, it reads the list at once", t, func() {
+		agent := newAgent()
+		agent.serversWanted = make(chan struct{}, 1)
+		agent.servers.Store(&[]placements.Server{{ID: "i-1", Address: testEngine}})
+		agent.reportStatus(stagings.Status{StartedUnixMilli: 1}, false)
+		convey.So(len(agent.serversWanted), convey.ShouldEqual, 0)
+		agent.reportStatus(stagings.Status{StartedUnixMilli: 2}, false)
+		convey.So(len(agent.serversWanted), convey.ShouldEqual, 1)
+	})
+}
+
 // Guards against an agent that takes its engine's version from a server list which
 // is seconds old. It then assumes that the engine has to change by the time at
 // which an earlier version was due, and all engines change at once.
--- a/cmd/entry/routed/routed.go
+++ b/cmd/entry/routed/routed.go
@@ -385,7 +385,7 @@
 // versionMargin before it is due.
 func (entry *entry) newFollower() *directives.Follower {
 	return directives.New(directives.Dependencies{
-		Feed: entry.store, Table: adapter.OperatorTable, PollWait: operatorPollWait, PollPause: operatorPollPause, BytesPerS: operatorBytesPerS,
+		Feed: entry.store, Table: adapter.OperatorTable, PollWait: operatorPollWait, PollPause: platform.FixedPause(operatorPollPause), BytesPerS: operatorBytesPerS,
 		MaxTransferPause: entry.settings.ConfigurationTime / transferPauseShare,
 		RestorePause:     storeRestorePause, Reachability: entry.reachability,
 		VersionTimeout: entry.settings.VersionTimeout - versionMargin, EarlierVersionTimeout: earlierVersionTimeout,
--- a/lib/directives/directives.go
+++ b/lib/directives/directives.go
@@ -37,7 +37,7 @@
 	}
 
 	// Dependencies are the dependencies of a follower. PollWait is how long a poll of
-	// the table waits for changes, and PollPause the pause between two polls. See
+	// the table waits for changes, and PollPause returns the pause between two polls. See
 	// platform.Watcher for BytesPerS, MaxTransferPause, RestorePause and Reachability.
 	// VersionTimeout is the time within which a version must be in use, counted from
 	// when this process first sees it, and EarlierVersionTimeout the same for a version
@@ -47,7 +47,7 @@
 		Feed                  platform.Feed
 		Table                 string
 		PollWait              time.Duration
-		PollPause             time.Duration
+		PollPause             func() time.Duration
 		BytesPerS             int
 		MaxTransferPause      time.Duration
 		RestorePause          time.Duration
@@ -92,7 +92,7 @@
 // Run follows the operator's table until the context ends.
 func (follower *Follower) Run(ctx context.Context) {
 	platform.Watcher{
-		Feed: follower.Feed, Table: follower.Table, PollWait: follower.PollWait, PollPause: platform.FixedPause(follower.PollPause),
+		Feed: follower.Feed, Table: follower.Table, PollWait: follower.PollWait, PollPause: follower.PollPause,
 		BytesPerS: follower.BytesPerS, MaxTransferPause: follower.MaxTransferPause, RestorePause: follower.RestorePause, Reachability: follower.Reachability,
 		Logger: follower.Logger, Scope: follower.Scope, OnUpdate: func(view platform.View) { follower.applyView(view, time.Now()) },
 	}.Run(ctx)
