Send no request on a connection on which bytes came that nobody requested

Looked for because operators of similar systems reported it: a second copy of an answer, late, on a connection that is in use again. Entries tell the answers of servers apart by their id. The clients for the store, the origin, the engine beside an agent and other agents do not: fasthttp drops what has arrived together with an answer, but what comes later is read as the answer to the next request. A poll of one table could take over the rows, or the revision, of another one, and an order count as accepted that the engine has refused.

Change: before a request is sent on a connection that has carried one, the socket is looked at. Peek moves from lib/gateways to lib/dialers for that.

--- a/lib/gateways/connections.go
+++ b/lib/gateways/connections.go
@@ -144,42 +144,17 @@
 // isReusable reports whether an idle connection is still open and holds no
 // unrequested bytes.
 func (conn *connection) isReusable() bool {
-	count, err := peek(conn.Conn)
+	count, err := dialers.Peek(conn.Conn)
 	return conn.reader.Buffered() == 0 && count < 0 && errors.Is(err, syscall.EAGAIN)
 }
 
 // isClosedByPeer reports whether the peer has closed its end. Unread bytes that
 // the peer sent before closing hide the close.
 func isClosedByPeer(conn net.Conn) bool {
-	count, err := peek(conn)
+	count, err := dialers.Peek(conn)
 	return count == 0 || err != nil && !errors.Is(err, syscall.EAGAIN)
 }
 
-// peek checks whether a byte has arrived on a connection, without consuming it.
-// Count is zero if the peer has closed the connection, and negative if there is
-// an error.
-func peek(conn net.Conn) (count int, err error) {
-	tcp, ok := conn.(syscall.Conn)
-	if !ok {
-		return -1, syscall.EAGAIN
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return -1, err
-	}
-	var buffer [1]byte
-	var recvErr error
-	// Control is used because Read would block behind the read that the HTTP server
-	// keeps pending on the connection.
-	err = raw.Control(func(fd uintptr) {
-		count, _, recvErr = syscall.Recvfrom(int(fd), buffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	})
-	if err != nil {
-		return -1, err
-	}
-	return count, recvErr
-}
-
 // send writes a complete request. The error wraps errNotSent if no byte was sent.
 func (conn *connection) send(request []byte) error {
 	written, err := conn.Write(request)
--- a/lib/gateways/shutdown.go
+++ b/lib/gateways/shutdown.go
@@ -18,6 +18,7 @@
 	"syscall"
 	"time"
 
+	"firford/lib/dialers"
 	"firford/lib/waits"
 )
 
@@ -149,7 +150,7 @@
 	if now.Sub(waits.Later(since, lastReadAt)) < quietTime && (isPartlyRead || !wasAnswered) {
 		return false
 	}
-	count, err := peek(conn)
+	count, err := dialers.Peek(conn)
 	return count <= 0 || err != nil && !errors.Is(err, syscall.EAGAIN)
 }
 
--- a/lib/stagings/peers.go
+++ b/lib/stagings/peers.go
@@ -99,7 +99,11 @@
 		MaxResponseBodySize:       maxAnswerBytes,
 		ReadBufferSize:            maxHeadBytes,
 		Dial: func(address string) (net.Conn, error) {
-			return dialers.New(connectTimeout, peerCallTimeout).Dial("tcp", address)
+			conn, err := dialers.New(connectTimeout, peerCallTimeout).Dial("tcp", address)
+			if err != nil {
+				return nil, err
+			}
+			return dialers.WithoutUnrequestedBytes(conn), nil
 		},
 	}
 }
