Let callers of the product's own interface leave before an entry stops

Cause: fasthttp's Shutdown closes at once each connection on which it has read no request; one may have arrived and wait for a busy host. Ruled out: a request of which the first half was read (TestStoppingServerAnswersWhatIsArriving passes before and after).

Change: as the routed entries do, the server first answers with Connection: close, and stops once the connections that are left have been quiet for 500 ms, after 2 s at the latest. The routed programs don't use this package.

lib/requests TestStoppingServerAnswersWhatHasArrived (a host that reads 100 ms late): 20 of 20 requests lost before, 0 of 20 now, twice each. A request that arrives after the last look at the connections is still cut off.

--- a/lib/requests/api_server.go
+++ b/lib/requests/api_server.go
@@ -84,6 +84,8 @@
 		liveEntries   *liveEntryCount
 		organisations *organisationIndex
 		inProgress    atomic.Int64
+		// stopping is set once the server stops.
+		stopping atomic.Bool
 	}
 
 	refusalBody struct {
@@ -112,11 +114,14 @@
 	}
 }
 
-// Serve answers callers on the listener. When the context ends, it stops
-// accepting connections and returns once the requests in progress have ended.
+// Serve answers callers on the listener. When the context ends, it closes connections by
+// their next answer, stops accepting them once those that are open are quiet, and returns
+// once the requests in progress have ended.
 func (server *APIServer) Serve(ctx context.Context, listener net.Listener) error {
+	conns := &callerConns{idleSince: map[net.Conn]time.Time{}}
 	httpServer := &fasthttp.Server{
 		Handler:               server.handle,
+		ConnState:             conns.setState,
 		ErrorHandler:          server.refuseUnreadable,
 		Name:                  "firford",
 		MaxRequestBodySize:    maxReadBytes,
@@ -131,6 +136,8 @@
 	stopped := make(chan error, 1)
 	go func() {
 		<-ctx.Done()
+		server.stopping.Store(true)
+		conns.awaitQuiet(time.Now())
 		stopped <- httpServer.Shutdown()
 	}()
 	if err := httpServer.Serve(lingeringListener{Listener: listener}); err != nil {
@@ -155,6 +162,9 @@
 }
 
 func (server *APIServer) handle(ctx *fasthttp.RequestCtx) {
+	if server.stopping.Load() {
+		ctx.SetConnectionClose()
+	}
 	validated, rejected := server.validate(ctx, time.Now())
 	if rejected != nil {
 		server.writeRefusal(ctx, rejected.status, rejected.refusal)
