Drop a result that nobody uses, and share the set-up of the ledgers' tests

cover in lib/quarantines returned the crashes that stay unexplained; since traits with two crashes explain none, assess works them out from the quarantined traits and both calls ignored the result. The two rapid machines and the simulation made and joined their ledgers by three copies of the same loops; newLedgers and shareRecords serve all three. Behaviour and assertions are unchanged; the package's tests pass.

--- a/lib/quarantines/assess.go
+++ b/lib/quarantines/assess.go
@@ -65,15 +65,14 @@
 	})
 }
 
-// cover blames the traits that may be blamed and are in enough crashes, and returns the
-// crashes that they don't explain.
-func cover(crashes []Crash, blamed map[Trait]blame, minimum int, known func(trait Trait) soundness, mayBlame func(trait Trait) bool) []Crash {
+// cover blames the traits that may be blamed and are in enough crashes.
+func cover(crashes []Crash, blamed map[Trait]blame, minimum int, known func(trait Trait) soundness, mayBlame func(trait Trait) bool) {
 	for remaining := crashes; ; {
 		suspects := suspectedTraits(remaining, known)
 		maps.DeleteFunc(suspects, func(trait Trait, suspect blame) bool { return len(suspect.moments) < minimum || !mayBlame(trait) })
 		worst := worstTraits(suspects, known)
 		if len(worst) == 0 {
-			return remaining
+			return
 		}
 		for _, trait := range worst {
 			blamed[trait] = suspects[trait]
--- a/lib/quarantines/quarantines_test.go
+++ b/lib/quarantines/quarantines_test.go
@@ -30,6 +30,26 @@
 	return ledger.Check(Parts(parts...), at(seconds)).IsRefused()
 }
 
+// newLedgers returns the ledgers of so many entries.
+func newLedgers(entries int) []*Ledger {
+	var ledgers []*Ledger
+	for position := range entries {
+		ledger := New()
+		ledger.SetEntries(position, entries)
+		ledgers = append(ledgers, ledger)
+	}
+	return ledgers
+}
+
+// shareRecords passes the records of each entry on to all entries.
+func shareRecords(ledgers []*Ledger, now time.Time) {
+	for _, from := range ledgers {
+		for _, to := range ledgers {
+			to.Merge(from.Own(now), now)
+		}
+	}
+}
+
 // Guards against servers that crash one after the other under one part, at whichever
 // entries the requests with it arrive.
 func TestPartOfManyCrashesIsQuarantined(t *testing.T) {
@@ -292,12 +312,7 @@
 func TestQuarantineRules(t *testing.T) {
 	rapid.Check(t, func(random *rapid.T) {
 		const entries, step, steps, delay, allowed = 4, 50 * time.Millisecond, 1200, 6, 3
-		var ledgers []*Ledger
-		for position := range entries {
-			ledger := New()
-			ledger.SetEntries(position, entries)
-			ledgers = append(ledgers, ledger)
-		}
+		ledgers := newLedgers(entries)
 		type running struct {
 			entry, until int
 			parts        []Trait
@@ -344,11 +359,7 @@
 			}
 			active = rest
 			if i%4 == 0 {
-				for _, from := range ledgers {
-					for _, to := range ledgers {
-						to.Merge(from.Own(now), now)
-					}
-				}
+				shareRecords(ledgers, now)
 			}
 		}
 		if sentAfter > allowed {
@@ -445,12 +456,7 @@
 	rapid.Check(t, func(random *rapid.T) {
 		const entries, step, steps, delay, allowed, bad = 4, 50 * time.Millisecond, 1200, 2, 3, Fingerprint(0xbad)
 		const uncausedCrashInterval = 300 // steps, on average
-		var ledgers []*Ledger
-		for position := range entries {
-			ledger := New()
-			ledger.SetEntries(position, entries)
-			ledgers = append(ledgers, ledger)
-		}
+		ledgers := newLedgers(entries)
 		type running struct {
 			entry, server, until int
 			traits               []Trait
@@ -517,11 +523,7 @@
 			}
 			active = rest
 			if i%4 == 0 {
-				for _, from := range ledgers {
-					for _, to := range ledgers {
-						to.Merge(from.Own(now), now)
-					}
-				}
+				shareRecords(ledgers, now)
 			}
 		}
 		if sentAfter > allowed {
--- a/lib/quarantines/turned_part_test.go
+++ b/lib/quarantines/turned_part_test.go
@@ -63,16 +63,10 @@
 
 func newSimulation(scenario turnedPart) *simulation {
 	const entries, servers = 5, 20
-	simulation := &simulation{
-		turnedPart: scenario, random: rand.New(rand.NewPCG(scenario.seed, 0)),
+	return &simulation{
+		turnedPart: scenario, random: rand.New(rand.NewPCG(scenario.seed, 0)), ledgers: newLedgers(entries),
 		generation: make([]int, servers), downUntil: make([]int, servers),
 	}
-	for position := range entries {
-		ledger := New()
-		ledger.SetEntries(position, entries)
-		simulation.ledgers = append(simulation.ledgers, ledger)
-	}
-	return simulation
 }
 
 func (simulation *simulation) now(step int) time.Time {
@@ -105,7 +99,7 @@
 		}
 		simulation.advance(step)
 		if step%sharedEvery == 0 {
-			simulation.share(simulation.now(step))
+			shareRecords(simulation.ledgers, simulation.now(step))
 		}
 	}
 	simulation.result.ended = simulation.ended
@@ -194,15 +188,6 @@
 	}
 }
 
-// share passes all records on to all entries.
-func (simulation *simulation) share(now time.Time) {
-	for _, from := range simulation.ledgers {
-		for _, to := range simulation.ledgers {
-			to.Merge(from.Own(now), now)
-		}
-	}
-}
-
 // Guards against a part in good use that turns bad and crashes servers for ever, because
 // each request that was sent twice explains its two crashes by itself and takes them from
 // the part that all of them share.
