Merge limits and leaving statements by one loop

Behaviour is unchanged; the tests of lib/loads pass, also under the race detector, and those of cmd/bench/hearing.

--- a/lib/loads/leaving_test.go
+++ b/lib/loads/leaving_test.go
@@ -83,7 +83,7 @@
 			old := leavingServers{"i-9": {HeardAt: time.Now().Add(-time.Hour)}}
 			convey.So(decodeLeaving(encodeLeaving(old, time.Now()), time.Now()), convey.ShouldBeEmpty)
 			convey.So(reporter.recordLeaving(old), convey.ShouldHaveLength, 1)
-			convey.So(reporter.currentLeaving(time.Now()), convey.ShouldBeEmpty)
+			convey.So(currentStatements(reporter.leaving, time.Now()), convey.ShouldBeEmpty)
 			convey.So(reporter.leaving, convey.ShouldBeEmpty)
 		})
 	})
--- a/lib/loads/news.go
+++ b/lib/loads/news.go
@@ -7,6 +7,8 @@
 // for the rest (see Listener).
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"firford/lib/placements"
@@ -44,29 +46,19 @@
 
 // since returns the news without the statements and crashes that are older than the time.
 func (heard news) since(from time.Time) news {
-	recent := news{limits: map[string]placements.LimitStatement{}, leaving: map[string]placements.LeavingStatement{}}
-	for server, statement := range heard.limits {
-		if statement.HeardAt.After(from) {
-			recent.limits[server] = statement
-		}
-	}
-	for server, statement := range heard.leaving {
-		if statement.HeardAt.After(from) {
-			recent.leaving[server] = statement
-		}
-	}
-	for _, crash := range heard.crashes.Crashes() {
-		if crash.At.After(from) {
-			// The answers show which traits of the crashes are sound.
-			recent.crashes = heard.crashes
-		}
+	recent := news{limits: maps.Clone(heard.limits), leaving: maps.Clone(heard.leaving)}
+	maps.DeleteFunc(recent.limits, func(_ string, statement placements.LimitStatement) bool { return !statement.HeardAt.After(from) })
+	maps.DeleteFunc(recent.leaving, func(_ string, statement placements.LeavingStatement) bool { return !statement.HeardAt.After(from) })
+	if slices.ContainsFunc(heard.crashes.Crashes(), func(crash quarantines.Crash) bool { return crash.At.After(from) }) {
+		// The answers show which traits of the crashes are sound.
+		recent.crashes = heard.crashes
 	}
 	return recent
 }
 
 // with returns the queue with more news.
 func (queue newsQueue) with(heard news) newsQueue {
-	items := append(append([]queuedNews{}, queue.items...), queuedNews{news: heard, sendsLeft: newsSends})
+	items := append(slices.Clone(queue.items), queuedNews{news: heard, sendsLeft: newsSends})
 	return newsQueue{items: items[max(0, len(items)-maxNews):]}
 }
 
@@ -75,12 +67,8 @@
 	all := news{limits: map[string]placements.LimitStatement{}, leaving: map[string]placements.LeavingStatement{}}
 	var next newsQueue
 	for _, item := range queue.items {
-		for server, statement := range item.limits {
-			all.limits[server] = statement
-		}
-		for server, statement := range item.leaving {
-			all.leaving[server] = statement
-		}
+		maps.Copy(all.limits, item.limits)
+		maps.Copy(all.leaving, item.leaving)
 		all.crashes, _ = all.crashes.WithAll(item.crashes, now)
 		if item.sendsLeft--; item.sendsLeft > 0 {
 			next.items = append(next.items, item)
@@ -88,3 +76,27 @@
 	}
 	return all, next
 }
+
+// recordStatements adds to the known statements, at most limit of them, those that were
+// heard later, and returns those of them that say something new.
+func recordStatements[S any](known, heard map[string]S, limit int, isLater, isNews func(next, known S) bool) map[string]S {
+	fresh := map[string]S{}
+	for server, next := range heard {
+		former, isKnown := known[server]
+		if isKnown && !isLater(next, former) || !isKnown && len(known) >= limit {
+			continue
+		}
+		known[server] = next
+		if !isKnown || isNews(next, former) {
+			fresh[server] = next
+		}
+	}
+	return fresh
+}
+
+// currentStatements forgets the statements that no longer count, and returns a copy of the
+// others.
+func currentStatements[S interface{ IsCurrent(now time.Time) bool }](known map[string]S, now time.Time) map[string]S {
+	maps.DeleteFunc(known, func(_ string, statement S) bool { return !statement.IsCurrent(now) })
+	return maps.Clone(known)
+}
--- a/lib/loads/reporter.go
+++ b/lib/loads/reporter.go
@@ -145,31 +145,9 @@
 func (reporter *Reporter) recordLimits(heard map[string]placements.LimitStatement) map[string]placements.LimitStatement {
 	reporter.mutex.Lock()
 	defer reporter.mutex.Unlock()
-	changed := map[string]placements.LimitStatement{}
-	for server, statement := range heard {
-		known, isKnown := reporter.limits[server]
-		if isKnown && !statement.HeardAt.After(known.HeardAt) || !isKnown && len(reporter.limits) >= maxLimits {
-			continue
-		}
-		reporter.limits[server] = statement
-		if !isKnown || known.PerS != statement.PerS {
-			changed[server] = statement
-		}
-	}
-	return changed
-}
-
-// currentLimits returns the limits that still count. The caller holds the mutex.
-func (reporter *Reporter) currentLimits(now time.Time) map[string]placements.LimitStatement {
-	current := map[string]placements.LimitStatement{}
-	for server, statement := range reporter.limits {
-		if !statement.IsCurrent(now) {
-			delete(reporter.limits, server)
-			continue
-		}
-		current[server] = statement
-	}
-	return current
+	return recordStatements(reporter.limits, heard, maxLimits,
+		func(next, known placements.LimitStatement) bool { return next.HeardAt.After(known.HeardAt) },
+		func(next, known placements.LimitStatement) bool { return next.PerS != known.PerS })
 }
 
 // recordLeaving records the leaving servers that an entry has heard of, and returns those
@@ -177,32 +155,11 @@
 func (reporter *Reporter) recordLeaving(heard map[string]placements.LeavingStatement) map[string]placements.LeavingStatement {
 	reporter.mutex.Lock()
 	defer reporter.mutex.Unlock()
-	fresh := map[string]placements.LeavingStatement{}
-	for server, statement := range heard {
-		known, isKnown := reporter.leaving[server]
-		if isKnown && !statement.HeardAt.After(known.HeardAt) || !isKnown && len(reporter.leaving) >= maxLeaving {
-			continue
-		}
-		reporter.leaving[server] = statement
-		if !isKnown || statement.StartedUnixMilli > known.StartedUnixMilli {
-			fresh[server] = statement
-		}
-	}
-	return fresh
-}
-
-// currentLeaving returns the servers that leave, as long as that is passed on. The
-// caller holds the mutex.
-func (reporter *Reporter) currentLeaving(now time.Time) map[string]placements.LeavingStatement {
-	current := map[string]placements.LeavingStatement{}
-	for server, statement := range reporter.leaving {
-		if !statement.IsCurrent(now) {
-			delete(reporter.leaving, server)
-			continue
-		}
-		current[server] = statement
-	}
-	return current
+	return recordStatements(reporter.leaving, heard, maxLeaving,
+		func(next, known placements.LeavingStatement) bool { return next.HeardAt.After(known.HeardAt) },
+		func(next, known placements.LeavingStatement) bool {
+			return next.StartedUnixMilli > known.StartedUnixMilli
+		})
 }
 
 // sendNews sends the last report again, with what was heard just now.
@@ -210,11 +167,12 @@
 	now := time.Now()
 	reporter.mutex.Lock()
 	last, to := reporter.last, reporter.currentSubscribers(now)
-	if last.Server != "" && len(to) > 0 {
+	isHeard := last.Server != "" && len(to) > 0
+	if isHeard {
 		last = reporter.withNews(last, now)
 	}
 	reporter.mutex.Unlock()
-	if last.Server != "" {
+	if isHeard {
 		reporter.sendTo(to, to, last)
 	}
 }
@@ -232,7 +190,7 @@
 func (reporter *Reporter) sendStatements(to netip.AddrPort, now time.Time) {
 	reporter.mutex.Lock()
 	last, all := reporter.last, reporter.currentSubscribers(now)
-	last.Limits, last.Leaving = reporter.currentLimits(now), reporter.currentLeaving(now)
+	last.Limits, last.Leaving = currentStatements(reporter.limits, now), currentStatements(reporter.leaving, now)
 	last.Crashes = reporter.crashes.Recent(now)
 	reporter.mutex.Unlock()
 	if last.Server != "" && len(last.Limits)+len(last.Leaving)+len(last.Crashes.Crashes()) > 0 {
