--- a/lib/dialers/unrequested.go
+++ b/lib/dialers/unrequested.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"syscall"
+	"time"
 )
 
 // ErrUnrequestedBytes is returned by Write if bytes arrived while no request was under
@@ -24,6 +25,16 @@
 // answer to its next request.
 func WithoutUnrequestedBytes(conn net.Conn) net.Conn { return &requestConn{Conn: conn} }
 
+// DialForRequests opens a TCP connection with the timeouts of New that carries one request
+// after another, without unrequested bytes.
+func DialForRequests(address string, connectTimeout, silenceLimit time.Duration) (net.Conn, error) {
+	conn, err := New(connectTimeout, silenceLimit).Dial("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return WithoutUnrequestedBytes(conn), nil
+}
+
 // Write implements net.Conn.
 func (conn *requestConn) Write(buffer []byte) (int, error) {
 	if conn.hasRead {
--- a/lib/stagings/peers.go
+++ b/lib/stagings/peers.go
@@ -99,11 +99,7 @@
 		MaxResponseBodySize:       maxAnswerBytes,
 		ReadBufferSize:            maxHeadBytes,
 		Dial: func(address string) (net.Conn, error) {
-			conn, err := dialers.New(connectTimeout, peerCallTimeout).Dial("tcp", address)
-			if err != nil {
-				return nil, err
-			}
-			return dialers.WithoutUnrequestedBytes(conn), nil
+			return dialers.DialForRequests(address, connectTimeout, peerCallTimeout)
 		},
 	}
 }
