Compute the fingerprint of a request once

Each line on a lost or refused request hashed the whole request again, on the path of requests that servers have just cut off. The request keeps what it computed for the quarantines. The lines are the same (golden file); the comment of dispatchInterval tells what a pass compares now.

--- a/lib/gateways/admission_queue.go
+++ b/lib/gateways/admission_queue.go
@@ -17,7 +17,8 @@
 
 // dispatchInterval is the shortest time between two passes over the waiting requests
 // that changes of the fleet trigger. In a large fleet there are thousands of reports a
-// second, and a pass compares several requests with all servers.
+// second, and a pass looks at all servers and compares several requests with those that
+// have room.
 const dispatchInterval = 5 * time.Millisecond
 
 type (
--- a/lib/gateways/gateway.go
+++ b/lib/gateways/gateway.go
@@ -188,8 +188,10 @@
 	// connectFailures counts the servers that could not be reached, and misdirections
 	// those whose address another server had.
 	connectFailures, misdirections int
-	// traits are what other requests may have in common with this one.
-	traits []quarantines.Trait
+	// traits are what other requests may have in common with this one. They are set with
+	// identity, its fingerprint, once its body was read.
+	traits   []quarantines.Trait
+	identity quarantines.Fingerprint
 	// isProbe is set for a request with a quarantined trait that may be sent to a server.
 	isProbe bool
 	// mayHaveRun is set as soon as a server may have run the request. errorAnswer is the
@@ -244,7 +246,8 @@
 	ctx, cancel := context.WithDeadline(request.received.Context(), request.deadline.Add(answerMargin))
 	defer cancel()
 	request.gateway.Queue.countRequest(request.service)
-	request.traits = append(quarantines.Parts(request.info.SharedParts...), request.fingerprint())
+	request.identity = request.fingerprint()
+	request.traits = append(quarantines.Parts(request.info.SharedParts...), request.identity)
 	request.gateway.Quarantines.CountRequest(request.traits)
 	if verdict := request.checkQuarantine(); verdict.IsRefused() {
 		request.refuse(quarantineReason(verdict.Trait), time.Until(verdict.RetryAt))
--- a/lib/gateways/request_log.go
+++ b/lib/gateways/request_log.go
@@ -69,7 +69,7 @@
 	case reasonQuarantinedPart:
 		fields = append(fields, zap.Strings("prompt_parts", request.info.SharedParts))
 	case reasonQuarantinedRequest:
-		fields = append(fields, zap.Stringer("fingerprint", request.fingerprint()))
+		fields = append(fields, zap.Stringer("fingerprint", request.identity))
 	}
 	if request.refusal != nil {
 		fields = append(fields, request.refusal.fields()...)
@@ -108,7 +108,7 @@
 		fields = append(fields, zap.Duration("predicted", request.predictedDelay))
 	}
 	if event == eventAnswerLost {
-		fields = append(fields, zap.Stringer("fingerprint", request.fingerprint()))
+		fields = append(fields, zap.Stringer("fingerprint", request.identity))
 		if len(request.info.SharedParts) > 0 {
 			fields = append(fields, zap.Strings("prompt_parts", request.info.SharedParts))
 		}
