--- a/lib/platform/watcher.go
+++ b/lib/platform/watcher.go
@@ -61,9 +61,9 @@
 	// Watcher follows one table. PollWait is how long a poll waits for a change.
 	// PollPause returns the pause between two polls, which lets one poll return several
 	// changes that are made within a short time. If BytesPerS is positive, the pause is at
-	// least as long as the rows of the answer take at that rate, up to MaxTransferPause. After the store came back from an older
-	// copy, the table is read again within RestorePause. Reachability is shared by the
-	// watchers of a process.
+	// least as long as the rows of the answer take at that rate, up to MaxTransferPause.
+	// After the store came back from an older copy, the table is read again within
+	// RestorePause. Reachability is shared by the watchers of a process.
 	Watcher struct {
 		Feed      Feed
 		Table     string
--- a/lib/processes/routed.go
+++ b/lib/processes/routed.go
@@ -14,20 +14,19 @@
 )
 
 const (
-	defaultVersionTimeout = 8 * time.Second
-	defaultReconnectTime  = 3 * time.Second
-	maxReconnectTime      = time.Minute
-	// Changes of the configuration have to be in force within seconds.
-	defaultApplyTime       = 2 * time.Second
-	maxApplyTime           = time.Minute
-	maxVersionTimeout      = 10 * time.Minute
-	defaultShutdownTimeout = 8 * time.Second
-	maxShutdownTimeout     = 10 * time.Minute
-	defaultLinkMbps        = 1000
-	minLinkMbps            = 0.1
-	maxLinkMbps            = 1_000_000
-	defaultMetricsPort     = 9310
-	maxPort                = 65535
+	defaultVersionTimeout    = 8 * time.Second
+	defaultReconnectTime     = 3 * time.Second
+	maxReconnectTime         = time.Minute
+	defaultConfigurationTime = 2 * time.Second
+	maxConfigurationTime     = time.Minute
+	maxVersionTimeout        = 10 * time.Minute
+	defaultShutdownTimeout   = 8 * time.Second
+	maxShutdownTimeout       = 10 * time.Minute
+	defaultLinkMbps          = 1000
+	minLinkMbps              = 0.1
+	maxLinkMbps              = 1_000_000
+	defaultMetricsPort       = 9310
+	maxPort                  = 65535
 )
 
 type (
@@ -82,7 +81,7 @@
 		CallersAddress:    listen.Address("callers"),
 		AdminAddress:      listen.Address("admin"),
 		ReconnectTime:     file.Section("limits").Duration("reconnect_time", defaultReconnectTime, time.Second, maxReconnectTime),
-		ConfigurationTime: file.Section("limits").Duration("configuration_time", defaultApplyTime, time.Second, maxApplyTime),
+		ConfigurationTime: file.Section("limits").Duration("configuration_time", defaultConfigurationTime, time.Second, maxConfigurationTime),
 	}
 	return entry, file.Findings().Err()
 }
