Tell a large fleet from a small one by one limit

Whether peers are sampled was asked of the listed agents (over 32) and whether a reader that answers is replaced of the planned ones (over 33), in two forms; a fleet of exactly 33 agents sampled and yet replaced readers at once. isLargeFleet answers both. Behaviour changes for exactly 33 agents only.

--- a/lib/stagings/plan.go
+++ b/lib/stagings/plan.go
@@ -237,7 +237,7 @@
 // the origin has been unavailable, some dozen agents that are in a hurry would have it send
 // several copies over its slow link.
 func (plan Plan) mayReplaceLiveReader() bool {
-	return len(plan.agents) <= maxSmallFleet+1 || plan.failedFetches >= patientFetches
+	return !isLargeFleet(len(plan.agents)) || plan.failedFetches >= patientFetches
 }
 
 // mayReplaceReader reports whether this agent may read the piece from the origin in
--- a/lib/stagings/probe.go
+++ b/lib/stagings/probe.go
@@ -25,20 +25,20 @@
 const (
 	// probeTimeout bounds the request for the pieces that a peer has.
 	probeTimeout = connectTimeout
-	// maxSmallFleet is the number of peers up to which an agent asks all of them, and
+	// maxSmallFleet is the number of agents up to which each asks all others, and
 	// sampledPeers how many it asks in a larger fleet.
 	maxSmallFleet = 32
 	sampledPeers  = 16
 )
 
-// isSampled reports whether an agent with these peers asks only some of them.
-func isSampled(peers []Peer) bool { return len(peers) > maxSmallFleet }
+// isLargeFleet reports whether agents of a fleet of this size ask only some of the others.
+func isLargeFleet(agents int) bool { return agents > maxSmallFleet }
 
 // probePeers asks peers at the same time and returns the ones to plan with, each
 // with the pieces of the content's version that it is known to have.
 func (node *Node) probePeers(content *content, target Target) []Peer {
 	listed := node.FleetView().Peers
-	if !isSampled(listed) {
+	if !isLargeFleet(len(listed)) {
 		return node.askPeers(content, listed)
 	}
 	answers := node.askPeers(content, node.planFor(target).sample(content.missing(), sampledPeers, rand.IntN))
