Name the wrong line of the settings at SIGHUP, and handle it from the start

Cause, by reading: the line on a rejected file had the same event as an accepted one and no level, and the handler was installed after the settings were read: a SIGHUP in the first milliseconds of a process ended it. That a wrong file is not taken over had no test.

The handler is installed first. A wrong file gives one line, "settings rejected", with the place of each problem; the former settings stay in force, and nothing restarts. The test sends SIGHUP three times, the second time with a wrong file.

--- a/lib/processes/execute.go
+++ b/lib/processes/execute.go
@@ -8,6 +8,7 @@
 	"crypto/rand"
 	"encoding/hex"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
@@ -47,6 +48,8 @@
 		fmt.Fprintln(os.Stderr, name+": --settings is required")
 		return ExitSettings
 	}
+	// From the start on, since the signal ends a process that does not handle it.
+	defer checkOnHangup(func() error { _, err := read(arguments.Settings); return err }, os.Stderr)()
 	settings, err := read(arguments.Settings)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -58,7 +61,6 @@
 	if err := memory.LimitToHost(); err != nil {
 		fmt.Fprintf(os.Stderr, "%s: %v\n", name, err)
 	}
-	defer checkOnHangup(func() error { _, err := read(arguments.Settings); return err })()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	if err := run(ctx, settings); err != nil {
@@ -68,20 +70,20 @@
 	return 0
 }
 
-// checkOnHangup reads the settings again at each SIGHUP and reports their
-// problems. Without a handler the signal would end the process. Changed
-// settings take effect at the next start, because the addresses and the
-// identity of a running process can't change.
-func checkOnHangup(read func() error) (stop func()) {
+// checkOnHangup reads the settings again at each SIGHUP and writes to out whether they are
+// right, or else which lines are not. Without a handler the signal would end the process.
+// The settings of the process stay in force until its next start, because the addresses and
+// the identity of a running process can't change.
+func checkOnHangup(read func() error, out io.Writer) (stop func()) {
 	hangupSignals := make(chan os.Signal, 1)
 	signal.Notify(hangupSignals, syscall.SIGHUP)
 	go func() {
 		for range hangupSignals {
 			if err := read(); err != nil {
-				fmt.Fprintf(os.Stderr, "event=\"settings changed\" error=%q\n", err)
+				fmt.Fprintf(out, "level=error event=\"settings rejected\" outcome=\"the former ones stay in force\" error=%q\n", err)
 				continue
 			}
-			fmt.Fprintln(os.Stderr, `event="settings changed" outcome="takes effect at the next start"`)
+			fmt.Fprintln(out, `level=info event="settings changed" outcome="takes effect at the next start"`)
 		}
 	}()
 	return func() {
--- a/lib/processes/routed_test.go
+++ b/lib/processes/routed_test.go
@@ -1,8 +1,12 @@
 package processes
 
 import (
+	"bufio"
+	"fmt"
+	"io"
 	"os"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -63,19 +67,29 @@
 	})
 }
 
-// Guards against a process that ends when it is sent SIGHUP because its
-// settings file has changed.
+// Guards against a process that ends when it is sent SIGHUP because its settings file has
+// changed, and against a wrong file that is taken over or that the operator does not hear of.
 func TestHangupChecksTheSettings(t *testing.T) {
-	convey.Convey("Given a process that handles SIGHUP, the signal makes it read the settings", t, func() {
-		read := make(chan struct{}, 1)
-		stop := checkOnHangup(func() error { read <- struct{}{}; return nil })
+	const right = `level=info event="settings changed" outcome="takes effect at the next start"`
+	wrong := strings.Replace(validRoutedAgentSettings, "[listen]", "colour = red\n[listen]", 1)
+	line := strings.Count(wrong[:strings.Index(wrong, "colour")], "\n") + 1
+	convey.Convey("Given a process that gets SIGHUP three times, the second time with a wrong file", t, func() {
+		path := writeSettings(t, validRoutedAgentSettings)
+		read, write := io.Pipe()
+		stop := checkOnHangup(func() error { _, err := ReadRoutedAgent(path); return err }, write)
 		defer stop()
-		convey.So(syscall.Kill(os.Getpid(), syscall.SIGHUP), convey.ShouldBeNil)
-		select {
-		case <-read:
-		case <-time.After(10 * time.Second):
-			t.Fatal("settings not read after SIGHUP")
+		lines := bufio.NewScanner(read)
+		hangUp := func(content string) string {
+			convey.So(os.WriteFile(path, []byte(content), 0o600), convey.ShouldBeNil)
+			convey.So(syscall.Kill(os.Getpid(), syscall.SIGHUP), convey.ShouldBeNil)
+			convey.So(lines.Scan(), convey.ShouldBeTrue)
+			return lines.Text()
 		}
+		convey.So(hangUp(validRoutedAgentSettings), convey.ShouldEqual, right)
+		rejection := hangUp(wrong)
+		convey.So(rejection, convey.ShouldContainSubstring, `event="settings rejected"`)
+		convey.So(rejection, convey.ShouldContainSubstring, fmt.Sprintf("%s:%d:", filepath.Base(path), line))
+		convey.So(hangUp(validRoutedAgentSettings), convey.ShouldEqual, right)
 	})
 }
 
