--- a/lib/stagings/fetch.go
+++ b/lib/stagings/fetch.go
@@ -39,12 +39,6 @@
 	originRetryDelay = 100 * time.Millisecond
 	// suspectTime is how long a peer is avoided after it failed.
 	suspectTime = 600 * time.Millisecond
-	// manifestPiece is the piece from whose sources the manifest is also requested.
-	manifestPiece = 0
-	// manifestTimeout is how long to wait for a manifest that its source is still
-	// fetching, and maxManifestPeers limits from how many peers it is requested.
-	manifestTimeout  = 800 * time.Millisecond
-	maxManifestPeers = 2
 	// planLifetime is how long an agent that has just started reads from the origin
 	// before it plans again.
 	planLifetime = 400 * time.Millisecond
@@ -59,87 +53,6 @@
 	stagingWorkers = 4
 )
 
-// findManifest looks for the manifest in the store, then at the agent that reads it
-// for this region, and at the origin if this agent is responsible for reading it
-// or if no other source has it.
-func (node *Node) findManifest(ctx context.Context, target Target) (Manifest, bool) {
-	manifest, err := node.ManifestStore.LoadManifest(ctx, target.Model, target.Version)
-	if err == nil {
-		err = manifest.Validate(target.Model, target.Version, target.Pieces)
-	}
-	if err == nil {
-		return manifest, true
-	}
-	sources := node.planFor(target).Sources(manifestPiece)
-	if len(sources) > maxManifestPeers {
-		sources = append(sources[:maxManifestPeers:maxManifestPeers], Source{Origin: true})
-	}
-	deadline := time.Now().Add(manifestTimeout)
-	for _, source := range sources {
-		manifest, err := node.readManifestFrom(ctx, source, target)
-		for errors.Is(err, errPending) && ctx.Err() == nil && time.Now().Before(deadline) {
-			manifest, err = node.readManifestFrom(ctx, source, target)
-		}
-		if err == nil {
-			err = manifest.Validate(target.Model, target.Version, target.Pieces)
-		}
-		if err == nil {
-			return manifest, true
-		}
-		node.Logger.Info("manifest not available from source", zap.Int("version", target.Version), zap.Bool("origin", source.Origin),
-			zap.String("peer", source.Host.Name), zap.Error(err))
-		if ctx.Err() != nil {
-			return Manifest{}, false
-		}
-	}
-	return Manifest{}, false
-}
-
-func (node *Node) readManifestFrom(ctx context.Context, source Source, target Target) (Manifest, error) {
-	if !source.Origin {
-		return node.peerClient.fetchManifest(source.Host.ChunkAddress, target.Model, target.Version)
-	}
-	manifest, err := readAgreedManifest(ctx, node.Origin, target.Model, target.Version)
-	if err == nil {
-		go node.saveManifest(ctx, manifest)
-	}
-	return manifest, err
-}
-
-// saveManifest saves a manifest in the store, for agents that start when no peer
-// has it.
-func (node *Node) saveManifest(ctx context.Context, manifest Manifest) {
-	if err := node.ManifestStore.SaveManifest(ctx, manifest); err != nil {
-		node.Logger.Warn("failed to save manifest", zap.Int("version", manifest.Version), zap.Error(err))
-	}
-}
-
-// readAgreedManifest reads the manifest from the origin until two reads agree,
-// because the origin may send corrupt data and nothing else authenticates a
-// manifest.
-func readAgreedManifest(ctx context.Context, origin Origin, model string, version int) (Manifest, error) {
-	const maxReads = 4
-	var seen []Manifest
-	var lastErr error
-	for range maxReads {
-		manifest, err := origin.Manifest(ctx, model, version)
-		if err != nil {
-			lastErr = err
-			continue
-		}
-		for _, earlier := range seen {
-			if earlier.Equal(manifest) {
-				return manifest, nil
-			}
-		}
-		seen = append(seen, manifest)
-	}
-	if lastErr == nil {
-		lastErr = errDisagreed
-	}
-	return Manifest{}, lastErr
-}
-
 // versionKey returns the key of a version in rendezvous hashes.
 func versionKey(model string, version int) string {
 	return model + "/" + strconv.Itoa(version)
