Read nothing more of a version once another one is to be fetched

Cause: the loop over an agent's own pieces waits for the turn of each and reads it, also when a newer version has been named meanwhile, and the newer one's pieces wait behind it.

The loop ends when the version is no longer wanted.

--- a/lib/stagings/fetch.go
+++ b/lib/stagings/fetch.go
@@ -94,9 +94,9 @@
 // readOwnPieces reads from the origin the pieces that this agent is responsible
 // for. The agents read in the order of the piece numbers, so that the first piece
 // arrives after the transfer time of one piece and can be pushed on, instead of
-// all pieces arriving together at the end. It returns false if the plan has to be
-// made again: agents that start together see only some of the others at first,
-// and would all read the same pieces. After one try at each piece, those that failed
+// all pieces arriving together at the end. It returns false if another version is to be
+// fetched now, or if the plan has to be made again: agents that start together see only
+// some of the others at first, and would all read the same pieces. After one try at each piece, those that failed
 // are retried in turn, so that none has to wait for the retries of another.
 func (node *Node) readOwnPieces(ctx context.Context, content *content, target Target, pieces []int) bool {
 	node.originMutex.Lock()
@@ -111,6 +111,9 @@
 		if !target.AnnouncedAt.IsZero() {
 			waits.Sleep(ctx, time.Until(target.AnnouncedAt.Add(pieceTime*time.Duration(piece))))
 		}
+		if !node.isWanted(content) {
+			return false
+		}
 		node.fetchPiece(ctx, content, piece, node.planFor(target), time.Now())
 	}
 	node.fetchAll(ctx, content, target, ownMissing(content, node.planFor(target)), time.Now().Add(pendingTimeout))
