Keep the origin's link busy after an outage, and ask sooner for missing pieces

At 31.6 s half of the agents had 57 of 64 pieces, then nothing came for a second: pushes to receivers that were slow once are dropped for 3 s, and agents wait for 600 ms without a push before they ask. It is 300 ms now.

--- a/lib/stagings/fetch.go
+++ b/lib/stagings/fetch.go
@@ -44,7 +44,11 @@
 	planLifetime = 400 * time.Millisecond
 	// pushIdleTimeout is how long no pushed piece may arrive before this agent
 	// requests the missing ones.
-	pushIdleTimeout = 600 * time.Millisecond
+	pushIdleTimeout = 300 * time.Millisecond
+	// backoffShare is the share of the origin's time for a copy over which readers come
+	// back after it was unavailable. Within it they ask for twice what its link carries, so
+	// that the link is never idle until all have read.
+	backoffShare = 0.5
 	// pushTimeFactor times the transfer time of a copy is how long the pushes of its
 	// pieces may take.
 	pushTimeFactor = 1.5
@@ -353,13 +357,14 @@
 }
 
 // originBackoff returns how long to wait before a failed read from the origin is retried.
-// The delay doubles with each failure in a row, up to this agent's part of the time for a
-// copy, and has a random part: readers that all come back at once share the origin's link,
-// and each gets its piece only when the whole copy has been sent.
+// The delay doubles with each failure in a row, up to this agent's part of backoffShare of
+// the time for a copy, and has a random part: readers that all come back at once share the
+// origin's link, and each gets its piece only when the whole copy has been sent.
 func (node *Node) originBackoff(content *content, plan Plan) time.Duration {
 	manifest := content.manifest
 	copyTime := transferTime(manifest.PieceBytes*int64(len(manifest.Digests)), node.FleetView().OriginMbps)
-	longest := max(originRetryDelay, copyTime/time.Duration(max(1, len(ownMissing(content, plan)))))
+	share := time.Duration(backoffShare * float64(copyTime))
+	longest := max(originRetryDelay, share/time.Duration(max(1, len(ownMissing(content, plan)))))
 	doublings := min(max(0, node.originFailures.Load()-1), maxDoublings)
 	delay := min(originRetryDelay<<doublings, longest)
 	if delay <= originRetryDelay {
