Replace stopped readers in large fleets only, and log readers that don't answer

Small fleets leave agents that do not answer out of each plan, so that a second way to replace them could only read a piece twice. Found by reading; not seen in a play.

--- a/lib/stagings/replace.go
+++ b/lib/stagings/replace.go
@@ -31,8 +31,12 @@
 )
 
 // replaceStoppedReaders makes this agent the reader of pieces whose readers have stopped,
-// until the context ends.
+// until the context ends. The agents of a small fleet need not ask: they leave those that do
+// not answer out of their plans.
 func (node *Node) replaceStoppedReaders(ctx context.Context, content *content, target Target) {
+	if !isLargeFleet(len(node.FleetView().Peers)) {
+		return
+	}
 	unanswered := map[string]int{}
 	for ctx.Err() == nil && node.isWanted(content) {
 		lines := node.planFor(target).predecessors(content.missing())
@@ -61,13 +65,16 @@
 			asked[host.Name] = true
 			group.Go(func() {
 				_, err := node.peerClient.heldPieces(host.ChunkAddress, content.manifest)
+				if err != nil {
+					node.Logger.Info("reader did not say whether it takes part", zap.String("peer", host.Name), zap.Error(err))
+				}
 				mutex.Lock()
 				defer mutex.Unlock()
 				if err == nil {
 					unanswered[host.Name] = 0
-					return
+				} else {
+					unanswered[host.Name]++
 				}
-				unanswered[host.Name]++
 			})
 		}
 	}
