Give a silent server at most half of the time that its caller still waits

The request in the record was sent to an engine 1.6 s after its arrival; its machine stood still a moment later. Silence counted after 3 targets, 1.5 s, and the caller left 0.14 s after that.

A stream's server now counts as silent after 3 targets or half of the time that the caller still waits, whichever is shorter, but not before one target: a sound server that is slow keeps a request that is late anyway. Nothing changes for requests that are sent as they arrive.

--- a/lib/gateways/silence_test.go
+++ b/lib/gateways/silence_test.go
@@ -201,6 +201,29 @@
 	})
 }
 
+// Guards against a request that waited long before it was sent to a server which then falls
+// silent: its caller left before the silence counted, and the server ran it for nobody.
+func TestSilenceLeavesTimeForASecondServer(t *testing.T) {
+	fixture := newGatewayFixture(t, 1)
+	match, err := fixture.gateway.Table().Match("desk.example", "/events/", "key")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, test := range []struct{ sentAfter, silentFor time.Duration }{
+		{sentAfter: 0, silentFor: 600 * time.Millisecond},
+		{sentAfter: 1400 * time.Millisecond, silentFor: 300 * time.Millisecond},
+		// A sound server that is slow keeps a request that is late anyway.
+		{sentAfter: 1900 * time.Millisecond, silentFor: 200 * time.Millisecond},
+	} {
+		convey.Convey(fmt.Sprintf("Given a stream that is sent %s after its arrival", test.sentAfter), t, func() {
+			arrivedAt := time.Now()
+			request := &request{gateway: fixture.gateway, match: match, service: "desk", arrivedAt: arrivedAt, lastDeliveredAt: arrivedAt}
+			sentAt := arrivedAt.Add(test.sentAfter)
+			convey.So(request.firstSilentAt(sentAt).Sub(sentAt), convey.ShouldEqual, test.silentFor)
+		})
+	}
+}
+
 // Guards against retries that are spent although no server got the request.
 func TestUnreachableServersTakeNoRetries(t *testing.T) {
 	convey.Convey("Given a silent server, and others that can't be reached", t, func() {
--- a/lib/gateways/takeover.go
+++ b/lib/gateways/takeover.go
@@ -26,6 +26,10 @@
 	takeoverInterval = 200 * time.Millisecond
 	// maxContenders is the number of servers that may work on a request at the same time.
 	maxContenders = 2
+	// takeoverShare is the share of the time that the caller of a stream still waits which
+	// a silent server gets. A request that was sent late would otherwise have no time left
+	// for a second one.
+	takeoverShare = 0.5
 )
 
 // errVersionDue is the error of an attempt that had not begun when the version of its
@@ -224,13 +228,15 @@
 		request.gateway.Quarantines.MayRepeat(request.traits)
 }
 
-// firstSilentAt returns when a server counts as silent that has not begun to answer.
+// firstSilentAt returns when a server counts as silent that has not begun to answer. A
+// server of streams has one target of the route at least.
 func (request *request) firstSilentAt(sentAt time.Time) time.Time {
 	switch {
 	case !request.allowsTakeover():
 		return time.Time{}
 	case request.match.Route.RetryMode == routes.Stream:
-		return sentAt.Add(firstEventTargets * request.target())
+		patience := time.Duration(takeoverShare * float64(request.abandonedAt().Sub(sentAt)))
+		return sentAt.Add(max(request.target(), min(firstEventTargets*request.target(), patience)))
 	default:
 		remaining := request.deadline.Add(answerMargin).Sub(sentAt)
 		return sentAt.Add(time.Duration(answerTimeShare * float64(remaining)))
