Ask for manifests elsewhere only once the store has answered, as before

Agents that lack pieces wait 900 ms instead of 600 for a reader before they replace it, so that with the shorter wait for pushes it is as late as before.

--- a/lib/stagings/fetch.go
+++ b/lib/stagings/fetch.go
@@ -34,7 +34,7 @@
 	pullInterval = 250 * time.Millisecond
 	// replaceReaderAfter is how long nobody may have had a piece until other agents
 	// read it from the origin in place of the responsible one.
-	replaceReaderAfter = 600 * time.Millisecond
+	replaceReaderAfter = 900 * time.Millisecond
 	// originRetryDelay is the delay before a failed read from the origin is retried.
 	originRetryDelay = 100 * time.Millisecond
 	// suspectTime is how long a peer is avoided after it failed.
--- a/lib/stagings/find_manifest.go
+++ b/lib/stagings/find_manifest.go
@@ -18,40 +18,19 @@
 	// fetching, and maxManifestPeers limits from how many peers it is requested.
 	manifestTimeout  = 800 * time.Millisecond
 	maxManifestPeers = 2
-	// storeHeadStart is how long the store may take to answer before the manifest is
-	// requested elsewhere too. After an outage it answers a fleet that has heard of a
-	// version after a second and more.
-	storeHeadStart = 250 * time.Millisecond
 )
 
-// findManifest looks for the manifest in the store and, if that fails or takes long, at its
-// other sources.
+// findManifest looks for the manifest in the store and, if it has none, at its other
+// sources.
 func (node *Node) findManifest(ctx context.Context, target Target) (Manifest, bool) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	results, pending := make(chan *Manifest, 2), 0
-	ask := func(source func(context.Context, Target) *Manifest) {
-		pending++
-		go func() { results <- source(ctx, target) }()
+	manifest := node.loadStoredManifest(ctx, target)
+	if manifest == nil {
+		manifest = node.fetchManifest(ctx, target)
 	}
-	ask(node.loadStoredManifest)
-	headStart := time.NewTimer(storeHeadStart)
-	defer headStart.Stop()
-	for isAskedElsewhere := false; pending > 0; {
-		select {
-		case manifest := <-results:
-			pending--
-			if manifest != nil {
-				return *manifest, true
-			}
-		case <-headStart.C:
-		}
-		if !isAskedElsewhere {
-			isAskedElsewhere = true
-			ask(node.fetchManifest)
-		}
+	if manifest == nil {
+		return Manifest{}, false
 	}
-	return Manifest{}, false
+	return *manifest, true
 }
 
 // loadStoredManifest returns the manifest from the store, nil if it has none that is valid.
@@ -102,7 +81,7 @@
 	}
 	manifest, err := readAgreedManifest(ctx, node.Origin, target.Model, target.Version)
 	if err == nil {
-		go node.saveManifest(context.WithoutCancel(ctx), manifest)
+		go node.saveManifest(ctx, manifest)
 	}
 	return manifest, err
 }
