--- a/lib/stagings/fetch.go
+++ b/lib/stagings/fetch.go
@@ -100,8 +100,9 @@
 // arrives after the transfer time of one piece and can be pushed on, instead of
 // all pieces arriving together at the end. It returns false if another version is to be
 // fetched now, or if the plan has to be made again: agents that start together see only
-// some of the others at first, and would all read the same pieces. After one try at each piece, those that failed
-// are retried in turn, so that none has to wait for the retries of another.
+// some of the others at first, and would all read the same pieces. After one try at each
+// piece, those that failed are retried in turn, so that none has to wait for the retries of
+// another.
 func (node *Node) readOwnPieces(ctx context.Context, content *content, target Target, pieces []int) bool {
 	node.originMutex.Lock()
 	defer node.originMutex.Unlock()
