--- a/lib/stagings/find_manifest.go
+++ b/lib/stagings/find_manifest.go
@@ -23,33 +23,29 @@
 // findManifest looks for the manifest in the store and, if it has none, at its other
 // sources.
 func (node *Node) findManifest(ctx context.Context, target Target) (Manifest, bool) {
-	manifest := node.loadStoredManifest(ctx, target)
-	if manifest == nil {
-		manifest = node.fetchManifest(ctx, target)
+	if manifest, found := node.loadStoredManifest(ctx, target); found {
+		return manifest, true
 	}
-	if manifest == nil {
-		return Manifest{}, false
-	}
-	return *manifest, true
+	return node.fetchManifest(ctx, target)
 }
 
-// loadStoredManifest returns the manifest from the store, nil if it has none that is valid.
-func (node *Node) loadStoredManifest(ctx context.Context, target Target) *Manifest {
+// loadStoredManifest returns the manifest from the store, false if it has none that is valid.
+func (node *Node) loadStoredManifest(ctx context.Context, target Target) (Manifest, bool) {
 	manifest, err := node.ManifestStore.LoadManifest(ctx, target.Model, target.Version)
 	if err == nil {
 		err = manifest.Validate(target.Model, target.Version, target.Pieces)
 	}
 	if err != nil {
 		node.Logger.Debug("manifest not available from the store", zap.Int("version", target.Version), zap.Error(err))
-		return nil
+		return Manifest{}, false
 	}
-	return &manifest
+	return manifest, true
 }
 
 // fetchManifest requests the manifest from the agent that reads it for this region, and
 // from the origin if this agent is responsible for reading it or if no other source has it.
-// It returns nil if no source has a valid one.
-func (node *Node) fetchManifest(ctx context.Context, target Target) *Manifest {
+// It returns false if no source has a valid one.
+func (node *Node) fetchManifest(ctx context.Context, target Target) (Manifest, bool) {
 	sources := node.planFor(target).Sources(manifestPiece)
 	if len(sources) > maxManifestPeers {
 		sources = append(sources[:maxManifestPeers:maxManifestPeers], Source{Origin: true})
@@ -64,15 +60,15 @@
 			err = manifest.Validate(target.Model, target.Version, target.Pieces)
 		}
 		if err == nil {
-			return &manifest
+			return manifest, true
 		}
 		if ctx.Err() != nil {
-			return nil
+			return Manifest{}, false
 		}
 		node.Logger.Info("manifest not available from source", zap.Int("version", target.Version), zap.Bool("origin", source.Origin),
 			zap.String("peer", source.Host.Name), zap.Error(err))
 	}
-	return nil
+	return Manifest{}, false
 }
 
 func (node *Node) readManifestFrom(ctx context.Context, source Source, target Target) (Manifest, error) {
--- a/lib/stagings/replace.go
+++ b/lib/stagings/replace.go
@@ -13,7 +13,6 @@
 	"maps"
 	"slices"
 	"strconv"
-	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -54,31 +53,18 @@
 // askPredecessors asks all agents of the lines whether they take part in the version, and
 // counts for each how often in a row it has not answered.
 func (node *Node) askPredecessors(content *content, lines map[int][]hosts.Host, unanswered map[string]int) {
-	var mutex sync.Mutex
-	var group sync.WaitGroup
-	asked := map[string]bool{}
+	asked := map[string]Peer{}
 	for _, line := range lines {
 		for _, host := range line {
-			if asked[host.Name] {
-				continue
-			}
-			asked[host.Name] = true
-			group.Go(func() {
-				_, err := node.peerClient.heldPieces(host.ChunkAddress, content.manifest)
-				if err != nil {
-					node.Logger.Info("reader did not say whether it takes part", zap.String("peer", host.Name), zap.Error(err))
-				}
-				mutex.Lock()
-				defer mutex.Unlock()
-				if err == nil {
-					unanswered[host.Name] = 0
-				} else {
-					unanswered[host.Name]++
-				}
-			})
+			asked[host.Name] = Peer{Host: host}
 		}
 	}
-	group.Wait()
+	for name := range asked {
+		unanswered[name]++
+	}
+	for _, peer := range node.askPeers(content, slices.Collect(maps.Values(asked))) {
+		unanswered[peer.Host.Name] = 0
+	}
 }
 
 func allStopped(line []hosts.Host, unanswered map[string]int) bool {
