Log for how long a version may have been unread, and on which version a request was placed

`version named` said how long the old version is allowed, not since when the version may have been in the store; `request ended` did not say on which version a request was placed.

Change: a view of a table knows since when its newest changes may have been unread: since the answer before, if the store answered at once or the whole table was read, and not at all if the poll waited for the change. `version named` has it as unread_for. Lines on requests have version and version_due_after, which is negative if the answer began after the time that this process allows. No decision uses either yet.

Ruled out: the store's steady clock (nowMs), which rows do not carry, so that it says nothing of a change that was not waited for.

--- a/lib/directives/directives.go
+++ b/lib/directives/directives.go
@@ -107,7 +107,7 @@
 	if desired.HasConfiguration && desired.Configuration.Version > follower.Routes().Version() {
 		follower.applyConfiguration(desired.Configuration, view.Revision)
 	}
-	follower.recordVersions(desired.Versions, now)
+	follower.recordVersions(desired.Versions, now, view.UnreadSince)
 	follower.loaded = true
 }
 
@@ -124,8 +124,9 @@
 
 // recordVersions adds the versions that are newer than the known ones to the
 // targets. Versions that arrive before or with the first view were announced before
-// the process started, at an unknown time.
-func (follower *Follower) recordVersions(versions []ModelVersion, now time.Time) {
+// the process started, at an unknown time. They may have been announced since unreadSince,
+// which is zero if it is unknown.
+func (follower *Follower) recordVersions(versions []ModelVersion, now, unreadSince time.Time) {
 	targets := follower.Targets()
 	isNewer := false
 	for _, version := range versions {
@@ -139,8 +140,14 @@
 		targets = targets.With(version.Model, announced)
 		isNewer = true
 		follower.Scope.Tagged(map[string]string{"model": version.Model}).Gauge("version_named").Update(float64(version.Version))
-		follower.Logger.Info("version named", zap.String("model", version.Model), zap.Int("version", version.Version),
-			zap.Int64("revision", version.Revision), zap.Bool("before_start", !follower.loaded), zap.Duration("due_in", announced.Due.Sub(now)))
+		fields := []zap.Field{
+			zap.String("model", version.Model), zap.Int("version", version.Version), zap.Int64("revision", version.Revision),
+			zap.Bool("before_start", !follower.loaded), zap.Duration("due_in", announced.Due.Sub(now)),
+		}
+		if !unreadSince.IsZero() {
+			fields = append(fields, zap.Duration("unread_for", now.Sub(unreadSince)))
+		}
+		follower.Logger.Info("version named", fields...)
 	}
 	follower.targets.Store(&targets)
 	if isNewer {
--- a/lib/directives/prefix_feed.go
+++ b/lib/directives/prefix_feed.go
@@ -135,7 +135,7 @@
 	for model, version := range announcement.Versions {
 		versions = append(versions, ModelVersion{Model: model, Version: version})
 	}
-	follower.recordVersions(versions, now)
+	follower.recordVersions(versions, now, time.Time{})
 	table := follower.Routes()
 	if announcement.Configuration <= table.Version() || announcement.Engines == table.EngineDigest() {
 		return false
--- a/lib/gateways/gateway.go
+++ b/lib/gateways/gateway.go
@@ -202,6 +202,8 @@
 	// last answer began, and predictedDelay the predicted time between the two.
 	placedAt, answerBeganAt time.Time
 	predictedDelay          time.Duration
+	// placedVersion is the version of the request's model at the server of that reservation.
+	placedVersion int
 	// usesUnlistedServer is set if the request got a reservation at a server that is
 	// missing from the platform's list.
 	usesUnlistedServer bool
--- a/lib/gateways/request_log.go
+++ b/lib/gateways/request_log.go
@@ -87,6 +87,17 @@
 	}
 }
 
+// versionFields returns log fields on the version on which the request was placed last, and
+// on how much longer that one could still begin requests when the answer began.
+func (request *request) versionFields() []zap.Field {
+	fields := []zap.Field{zap.Int("version", request.placedVersion)}
+	due, isReplaced := request.gateway.VersionDeadline(request.info.Model, request.placedVersion)
+	if isReplaced && !request.answerBeganAt.IsZero() {
+		fields = append(fields, zap.Duration("version_due_after", due.Sub(request.answerBeganAt)))
+	}
+	return fields
+}
+
 // log writes a line with the event and what is known about the request so far.
 func (request *request) log(event string, fields ...zap.Field) {
 	fields = append(fields,
@@ -104,6 +115,9 @@
 	if !request.placedAt.IsZero() {
 		fields = append(fields, zap.Duration("placed_after", request.placedAt.Sub(request.arrivedAt)))
 	}
+	if request.placedVersion > 0 {
+		fields = append(fields, request.versionFields()...)
+	}
 	if request.predictedDelay > 0 {
 		fields = append(fields, zap.Duration("predicted", request.predictedDelay))
 	}
--- a/lib/gateways/retries.go
+++ b/lib/gateways/retries.go
@@ -114,6 +114,7 @@
 	metrics := request.gateway.metrics
 	request.placedAt = time.Now()
 	request.predictedDelay = reservation.Predicted
+	request.placedVersion = reservation.Server.Versions[request.info.Model]
 	if reservation.Limited {
 		metrics.countLimitedAttempt()
 	}
--- a/lib/platform/watcher.go
+++ b/lib/platform/watcher.go
@@ -19,7 +19,10 @@
 const (
 	// maxHistoryPause bounds the pause before a table is read again whose history was
 	// lost. It spreads the processes that are told so at the same time.
-	maxHistoryPause       = 100 * time.Millisecond
+	maxHistoryPause = 100 * time.Millisecond
+	// immediateAnswerTime is how long a poll takes at the most that the store answered at
+	// once. A longer one has waited for the change.
+	immediateAnswerTime   = 250 * time.Millisecond
 	millisecondsPerSecond = 1000
 )
 
@@ -50,12 +53,15 @@
 	// began that the store did not answer or that first told of the present epoch, or zero
 	// if there was none: the store was unavailable to this process then, and may have been
 	// available from then on. RestoredAt is when the call began that told of the present
-	// epoch, or zero if the epoch has not changed.
+	// epoch, or zero if the epoch has not changed. UnreadSince is when the newest changes
+	// of the view may have been made at the earliest while this process did not wait for
+	// them, or zero if the store was unavailable to it or the view is the first one.
 	View struct {
 		Position
 		Rows          map[string]Row
 		UnavailableAt time.Time
 		RestoredAt    time.Time
+		UnreadSince   time.Time
 	}
 
 	// Watcher follows one table. PollWait is how long a poll waits for a change.
@@ -88,12 +94,14 @@
 	}
 
 	// watcherState is the state of a running watcher. hasView is set while the view can
-	// be brought up to date by changes alone. failedCalls counts the calls that failed in
+	// be brought up to date by changes alone. answeredAt is when the store last answered
+	// with what brought the view up to date. failedCalls counts the calls that failed in
 	// a row, the first of which began at failingSince.
 	watcherState struct {
 		Watcher
 		view         View
 		hasView      bool
+		answeredAt   time.Time
 		failedCalls  int
 		failingSince time.Time
 		restoration  restoration
@@ -202,18 +210,38 @@
 		// A replica of the store that lags must not replace a newer view.
 		return historyLost
 	case answered.isSnapshot:
-		state.applySnapshot(answered)
+		state.applySnapshot(answered, state.unreadSince(answered, now))
 	case len(answered.changes) > 0:
-		state.publish(state.view.apply(answered.changes, answered.position.Revision))
+		view := state.view.apply(answered.changes, answered.position.Revision)
+		view.UnreadSince = state.unreadSince(answered, now)
+		state.publish(view)
 	default:
 		state.view.Revision = max(state.view.Revision, answered.position.Revision)
 	}
+	state.answeredAt = now
 	state.followRestoration(now)
 	return upToDate
 }
 
-func (state *watcherState) applySnapshot(answered call) {
-	view := View{Position: answered.position, Rows: map[string]Row{}, UnavailableAt: state.view.UnavailableAt, RestoredAt: state.view.RestoredAt}
+// unreadSince returns since when the changes of an answer may have been made. The store
+// answers a poll as soon as there is a change, so one that was answered at once tells of a
+// change during the pause before it.
+func (state *watcherState) unreadSince(answered call, now time.Time) time.Time {
+	switch {
+	case state.isFailing() || !state.hasRows():
+		return time.Time{}
+	case answered.isSnapshot || now.Sub(answered.startedAt) <= immediateAnswerTime:
+		return state.answeredAt
+	default:
+		return now
+	}
+}
+
+func (state *watcherState) applySnapshot(answered call, unreadSince time.Time) {
+	view := View{
+		Position: answered.position, Rows: map[string]Row{}, UnavailableAt: state.view.UnavailableAt, RestoredAt: state.view.RestoredAt,
+		UnreadSince: unreadSince,
+	}
 	for _, row := range answered.rows {
 		view.Rows[row.Key] = row
 	}
