Look at a version's due time when a request is sent, and again when it changes

What callers saw: nothing yet. An entry that stands still between the choice of an engine and the sending, or learns that a version was due while a request waits in an engine's queue, let the request begin on the old version.

Cause: the due time was looked at when the engine was chosen and when the deadline of the answer was set. Class: a permission that is checked before a wait and not after it. Since processes tell each other the age of a version, a due time may also move into the past.

Change: a request is not sent once its server's version is due; it is withdrawn like one whose server stated that it wants none (cause=version_due) and goes to another server. Requests that wait at a server look at the due time again when the announced versions change. A request that may run only once is not sent again.

--- a/cmd/entry/routed/routed.go
+++ b/cmd/entry/routed/routed.go
@@ -394,11 +394,12 @@
 	})
 }
 
-// announceVersions makes new versions count for placements and informs all agents about
-// them immediately. Their subscriptions repeat it in case the message is lost.
+// announceVersions makes new versions count for placements and waiting requests, and informs
+// all agents about them immediately. Their subscriptions repeat it in case the message is lost.
 func (entry *entry) announceVersions() {
 	targets := entry.follower.Targets()
 	entry.queue.UpdateFleet(func(fleet *placements.Fleet, _ time.Time) { fleet.SetVersionTargets(targets) })
+	entry.gateway.RecheckVersions()
 	entry.loadListener.Announce()
 }
 
--- a/lib/gateways/attempts.go
+++ b/lib/gateways/attempts.go
@@ -136,7 +136,8 @@
 }
 
 // send sends the request over the attempt's connection, unless its caller has left, a
-// part of its prompt was quarantined, or the server wants no requests any more.
+// part of its prompt was quarantined, the server wants no requests any more, or its version
+// is due to be replaced.
 func (request *request) send(ctx context.Context, attempt *attempt) attemptResult {
 	if request.callerDisconnected() {
 		return callerGone{}
@@ -150,6 +151,9 @@
 	if outcome, isWithdrawn := request.withdrawal(attempt.reservation); isWithdrawn {
 		return outcome
 	}
+	if request.isVersionDue(attempt.reservation.Server) {
+		return withdrawn{cause: causeVersionDue}
+	}
 	if err := attempt.conn.send(request.encode(attempt.reservation.Server, attempt.sentAt)); err != nil {
 		return request.classifyError(ctx, err)
 	}
@@ -257,7 +261,7 @@
 		request.connectFailures++
 		request.log(eventNotReached, append(place, zap.Error(outcome.err))...)
 	case withdrawn:
-		request.log(eventWithdrawn, append(place, zap.String("cause", outcome.cause), zap.Duration("heard_before", time.Since(outcome.heardAt)))...)
+		request.log(eventWithdrawn, append(place, outcome.fields()...)...)
 	case notRun:
 		if outcome.misdirected {
 			request.misdirections++
--- a/lib/gateways/forward.go
+++ b/lib/gateways/forward.go
@@ -12,7 +12,6 @@
 	"go.uber.org/zap"
 
 	"firford/lib/placements"
-	"firford/lib/waits"
 )
 
 const (
@@ -64,32 +63,6 @@
 	}
 }
 
-// versionDeadline returns by when the answer must have begun because the server's
-// version is about to be replaced. A request that has not begun by then is sent to
-// another server. Without a replacement it returns the request's own deadline.
-func (request *request) versionDeadline(server placements.Server) time.Time {
-	deadline := request.deadline.Add(answerMargin)
-	if request.info.Model == "" {
-		return deadline
-	}
-	if replacedAt, replaced := request.gateway.VersionDeadline(request.info.Model, server.Versions[request.info.Model]); replaced {
-		return waits.Earlier(replacedAt, deadline)
-	}
-	return deadline
-}
-
-// isReplacementAnnounced reports whether the server's version must be replaced. Its
-// requests then go over new connections: over a full link, bytes sent on an open one
-// may arrive seconds later, after the due time, while a connection is only established
-// in time if the link is free enough.
-func (request *request) isReplacementAnnounced(server placements.Server) bool {
-	if request.info.Model == "" {
-		return false
-	}
-	_, isReplaced := request.gateway.VersionDeadline(request.info.Model, server.Versions[request.info.Model])
-	return isReplaced
-}
-
 func (request *request) encode(server placements.Server, now time.Time) []byte {
 	header := endToEndHeaders(request.received.Header)
 	request.gateway.Dialect.RewriteRequest(header, ForwardInfo{
--- a/lib/gateways/gateway.go
+++ b/lib/gateways/gateway.go
@@ -77,6 +77,7 @@
 		server         *http.Server
 		listener       atomic.Pointer[callerListener]
 		callerConns    *callerConns
+		versionChanges versionChanges
 		// refuseFrom is the Unix time in nanoseconds from which a gateway that stops refuses
 		// requests, zero before.
 		refuseFrom atomic.Int64
--- a/lib/gateways/retries.go
+++ b/lib/gateways/retries.go
@@ -36,7 +36,7 @@
 	// notSent means that no byte was sent to the server.
 	notSent struct{ err error }
 	// withdrawn means that nothing was sent, because the server stated at heardAt that it
-	// wants no requests.
+	// wants no requests, or because its version is due to be replaced, without a heardAt.
 	withdrawn struct {
 		cause   string
 		heardAt time.Time
--- a/lib/gateways/statements.go
+++ b/lib/gateways/statements.go
@@ -65,6 +65,15 @@
 	}
 }
 
+// fields returns log fields on why the request was not sent.
+func (outcome withdrawn) fields() []zap.Field {
+	fields := []zap.Field{zap.String("cause", outcome.cause)}
+	if !outcome.heardAt.IsZero() {
+		fields = append(fields, zap.Duration("heard_before", time.Since(outcome.heardAt)))
+	}
+	return fields
+}
+
 func (request *request) recordUnreadable(server placements.Server) {
 	request.gateway.metrics.countStatement("unreadable")
 	request.gateway.unreadableLog.Do(func() { request.logStatement(eventUnreadable, server) })
--- a/lib/gateways/takeover.go
+++ b/lib/gateways/takeover.go
@@ -11,7 +11,6 @@
 
 import (
 	"context"
-	"errors"
 	"slices"
 	"time"
 
@@ -32,17 +31,15 @@
 	takeoverShare = 0.5
 )
 
-// errVersionDue is the error of an attempt that had not begun when the version of its
-// server had to be replaced.
-var errVersionDue = errors.New("the version of the server is due to be replaced")
-
 // relay is the state of a request that is at one or two servers. place is set while the
-// first one is silent and the request waits for room at a second one.
+// first one is silent and the request waits for room at a second one. versionsChanged is
+// closed when the announced versions change.
 type relay struct {
-	request *request
-	open    []*attempt
-	place   *pendingPlace
-	timer   *time.Timer
+	request         *request
+	open            []*attempt
+	place           *pendingPlace
+	timer           *time.Timer
+	versionsChanged <-chan struct{}
 }
 
 // relayAnswer passes the answer of the server on to the caller. While that server is
@@ -51,6 +48,7 @@
 func (request *request) relayAnswer(ctx context.Context, first *attempt) attemptResult {
 	relay := &relay{request: request, open: []*attempt{first}, timer: time.NewTimer(time.Until(first.silentAt))}
 	defer relay.stop()
+	relay.watchVersions()
 	for {
 		if outcome := relay.step(ctx); outcome != nil {
 			return outcome
@@ -79,12 +77,22 @@
 		if end.reservation != nil {
 			relay.openSecond(ctx, end.reservation)
 		}
+	case <-relay.versionsChanged:
+		relay.watchVersions()
 	case <-relay.timer.C:
 		return relay.onTimer(ctx)
 	}
 	return nil
 }
 
+// watchVersions looks at the due time of the servers' versions now and at its next change.
+func (relay *relay) watchVersions() {
+	if relay.request.info.Model != "" {
+		relay.versionsChanged = relay.request.gateway.versionChanges.wait()
+		relay.resetTimer()
+	}
+}
+
 // handle handles a part of the answer of one of the servers.
 func (relay *relay) handle(ctx context.Context, current *attempt, part answerPart) attemptResult {
 	outcome := relay.request.handlePart(ctx, current, part)
@@ -153,20 +161,17 @@
 
 // onTimer looks for a second server if the first one is silent. Without another one, the
 // first one has until the deadline of the request, but may not begin it on a version that
-// is due to be replaced, which may have been announced meanwhile.
+// is due to be replaced.
 func (relay *relay) onTimer(ctx context.Context) attemptResult {
-	first := relay.open[0]
-	if first.silentAt.IsZero() {
-		return nil
+	if due, isDue := relay.dueAttempt(); isDue {
+		return relay.handle(ctx, due, answerEnd{err: errVersionDue})
 	}
-	if wait := time.Until(first.silentAt); wait > 0 {
-		relay.timer.Reset(wait)
+	first := relay.open[0]
+	if first.silentAt.IsZero() || time.Now().Before(first.silentAt) {
+		relay.resetTimer()
 		return nil
 	}
 	relay.timer.Reset(takeoverInterval)
-	if first.conn != nil && first.head == nil && !time.Now().Before(relay.request.versionDeadline(first.reservation.Server)) {
-		return relay.handle(ctx, first, answerEnd{err: errVersionDue})
-	}
 	if relay.place != nil && !time.Now().Before(relay.place.waiter.StartBy) {
 		relay.leaveQueue()
 	}
