Take no status from an earlier answer that broke off in its head

What callers saw, in a test: 503 ("no place in time", "turned away") for requests that had run, and 200 with the body of a failure and the signature of the earlier answer. Only on routes that may repeat; the others use new connections.

Cause: a server writes an earlier answer once more after the next request has reached it, and the copy ends inside its status line or the value of a field. The parser reads the status line of the next answer as the rest of that line and goes on, so that answer has its own id and the status, statement and signature of the earlier one.

Ruled out: copies that are whole, in pieces, or torn at the end of a line, in a field's name or in the body. They have another id or are malformed (TestEarlierRefusalsAreNotBelieved passes without this change).

Change: on a connection that has carried a request, a head with a status line in its reason or in a field is a lost answer.

--- a/lib/gateways/connections.go
+++ b/lib/gateways/connections.go
@@ -180,6 +180,9 @@
 		if err != nil {
 			return nil, ResponseInfo{}, fmt.Errorf("read answer: %w", err)
 		}
+		if !conn.isNew && isTornHead(response) {
+			return nil, ResponseInfo{}, errTornHead
+		}
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
