Believe no answer that bears the ids of two requests

What callers saw, in a test: 503 for a request that had run, when an earlier refusal arrived on its connection with both its own id and the earlier one; on routes that run once also on a new connection.

Cause: of several ids in an answer the first one counted. Ruled out: the earlier id first, and the same id twice; the first was skipped as the answer to another request, the second is the request's own.

Change: the adapter passes on all ids, and an answer is the request's own only if each of them is the request's. Another one is skipped, like any answer to another request; if no own one follows, the outcome is unknown.

go test -race ./lib/gateways -run TestAnswersWithTwoIDs: 503 in place of 200 on a kept connection and of 502 on a new one before; passed in 3 of 3 runs after.

--- /dev/null
+++ b/lib/gateways/ambiguous_answers_test.go
@@ -0,0 +1,37 @@
+package gateways
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/smartystreets/goconvey/convey"
+)
+
+// Guards against an answer that bears the ids of two requests and is taken for the answer
+// to one of them.
+func TestAnswersWithTwoIDsAreNotBelieved(t *testing.T) {
+	const own, other = "r-1", "r-0"
+	for name, ids := range map[string]string{"own id first": own + "\r\nId: " + other, "other id first": other + "\r\nId: " + own} {
+		convey.Convey(fmt.Sprintf("Given a refusal with two ids, %s, on a kept connection", name), t, func() {
+			earlier := func(string) []string { return []string{refusalText(http.StatusServiceUnavailable, ids)} }
+			server := newRepeatingServer(t, answer(http.StatusOK, signedHeader, "slip"), onNextRequest, earlier)
+			fixture := newGatewayFixture(t, 1, server.scriptedServer)
+			for _, id := range []string{other, own} {
+				status, _, body, _ := fixture.post(t, "/again/", "", "Id", id)
+				convey.So(status, convey.ShouldEqual, http.StatusOK)
+				convey.So(body, convey.ShouldEqual, "slip")
+			}
+			convey.So(server.keptCount(), convey.ShouldEqual, 1)
+		})
+		convey.Convey(fmt.Sprintf("Given a refusal with two ids, %s, on a new connection", name), t, func() {
+			server := newScriptedServer(t, func(conn net.Conn, _ *http.Request) bool {
+				_, _ = conn.Write([]byte(refusalText(http.StatusServiceUnavailable, ids)))
+				return false
+			})
+			status, _, _, _ := newGatewayFixture(t, 1, server).post(t, "/once/", "", "Id", own)
+			convey.So(status, convey.ShouldEqual, http.StatusBadGateway)
+		})
+	}
+}
--- a/lib/gateways/answer_owner.go
+++ b/lib/gateways/answer_owner.go
@@ -32,3 +32,12 @@
 	}
 	return false
 }
+
+// isOwnAnswer reports whether an answer with the ids is the answer to the request with the
+// id. An answer that names no request is, if it is the first one on its connection.
+func isOwnAnswer(ids []string, id string, isFirst bool) bool {
+	if !slices.ContainsFunc(ids, func(each string) bool { return each != "" }) {
+		return isFirst
+	}
+	return !slices.ContainsFunc(ids, func(each string) bool { return each != id })
+}
--- a/lib/gateways/connections.go
+++ b/lib/gateways/connections.go
@@ -187,7 +187,7 @@
 			continue
 		}
 		info := dialect.ParseResponse(response.StatusCode, response.Header, time.Now())
-		if info.ID == id || info.ID == "" && conn.isNew {
+		if isOwnAnswer(info.IDs, id, conn.isNew) {
 			return response, info, nil
 		}
 		if err := skipBody(response); err != nil {
--- a/lib/gateways/dialect.go
+++ b/lib/gateways/dialect.go
@@ -42,18 +42,19 @@
 		Deadline     time.Time
 	}
 
-	// ResponseInfo holds what the headers of a server's answer state. NotRun means
-	// that the server stated that it did not run the request and never will. Signed
-	// means that the answer comes from a server that ran the request. Misdirected
-	// means that another server now has the address. IdleUntil is when the server
-	// closes the connection if it stays idle, zero if the server did not state it.
-	// LimitPerS is how many requests a second the server takes from all entries together,
-	// zero if it states no limit. Leaving means that the server shuts down and takes no new
-	// requests. NotBefore is until when a server that turned the request away wants no
-	// requests from this entry, zero if it did not state that. Unreadable is set if Leaving
-	// or NotBefore could not be read, so that they count as not stated.
+	// ResponseInfo holds what the headers of a server's answer state. IDs are the ids of the
+	// requests that it names, one at a sound server. NotRun means that the server stated
+	// that it did not run the request and never will. Signed means that the answer comes
+	// from a server that ran the request. Misdirected means that another server now has the
+	// address. IdleUntil is when the server closes the connection if it stays idle, zero if
+	// the server did not state it. LimitPerS is how many requests a second the server takes
+	// from all entries together, zero if it states no limit. Leaving means that the server
+	// shuts down and takes no new requests. NotBefore is until when a server that turned the
+	// request away wants no requests from this entry, zero if it did not state that.
+	// Unreadable is set if Leaving or NotBefore could not be read, so that they count as not
+	// stated.
 	ResponseInfo struct {
-		ID          string
+		IDs         []string
 		NotRun      bool
 		Signed      bool
 		Misdirected bool
--- a/lib/gateways/fakes_test.go
+++ b/lib/gateways/fakes_test.go
@@ -49,7 +49,7 @@
 	isMisdirected := status == http.StatusMisdirectedRequest
 	limit, _ := strconv.ParseFloat(header.Get("Limit"), 64)
 	info := ResponseInfo{
-		ID: header.Get("Id"), NotRun: isMisdirected || header.Get("Not-Run") != "", Signed: header.Get("Signed") != "", Misdirected: isMisdirected,
+		IDs: header.Values("Id"), NotRun: isMisdirected || header.Get("Not-Run") != "", Signed: header.Get("Signed") != "", Misdirected: isMisdirected,
 		LimitPerS: limit, Leaving: header.Get("Leaving") != "", Unreadable: header.Get("Unreadable") != "",
 	}
 	if wait, err := strconv.Atoi(header.Get("Not-Before")); err == nil {
