Believe no refusal without an id behind an answer to another request

What callers saw, in a test: 503 for a request that had run, on a route that runs once. Its server had written the refusal of another request on the new connection, and after it a refusal without an id.

Cause: on a new connection an answer without an id counted as the request's own, also after an answer to another request had shown that the server mixes them up. Such an answer is now accepted only as the first one on a new connection; a refusal without an id stays legal there (the test has that too), since nothing else was asked on the connection.

--- a/lib/gateways/ambiguous_answers_test.go
+++ b/lib/gateways/ambiguous_answers_test.go
@@ -35,3 +35,25 @@
 		})
 	}
 }
+
+// Guards against a refusal without an id that is believed although the server has shown
+// that it writes answers to other requests on the connection.
+func TestRefusalsAfterForeignAnswersNeedAnID(t *testing.T) {
+	convey.Convey("Given a new connection with an answer to another request and a refusal without an id", t, func() {
+		server := newScriptedServer(t, func(conn net.Conn, received *http.Request) bool {
+			_, _ = conn.Write([]byte(refusalText(http.StatusServiceUnavailable, "r-0") + refusalText(http.StatusServiceUnavailable, "")))
+			return answer(http.StatusOK, signedHeader, "slip")(conn, received)
+		})
+		status, _, body, _ := newGatewayFixture(t, 1, server).post(t, "/once/", "")
+		convey.So(status, convey.ShouldEqual, http.StatusOK)
+		convey.So(body, convey.ShouldEqual, "slip")
+	})
+	convey.Convey("Given a new connection with nothing but a refusal without an id, it is believed", t, func() {
+		server := newScriptedServer(t, func(conn net.Conn, _ *http.Request) bool {
+			_, _ = conn.Write([]byte(refusalText(http.StatusBadRequest, "")))
+			return false
+		})
+		status, _, _, _ := newGatewayFixture(t, 1, server).post(t, "/once/", "")
+		convey.So(status, convey.ShouldEqual, http.StatusServiceUnavailable)
+	})
+}
--- a/lib/gateways/connections.go
+++ b/lib/gateways/connections.go
@@ -169,27 +169,28 @@
 
 // readAnswer reads the head of the answer to the request with the id. Answers with
 // another id belong to earlier requests on this connection and are skipped. An
-// answer without an id is accepted only on a new connection, which carried no
-// earlier request. What a skipped answer states about its server is not recorded:
-// nothing in it shows that this server, as started now, wrote it, and it may be older
-// than what the server has stated since.
+// answer without an id is accepted only as the first one on a new connection, which
+// carried no earlier request. What a skipped answer states about its server is not
+// recorded: nothing in it shows that this server, as started now, wrote it, and it may be
+// older than what the server has stated since.
 func (conn *connection) readAnswer(dialect Dialect, method, id string) (*http.Response, ResponseInfo, error) {
-	headBytesLeft := maxHeadBytes
+	headBytesLeft, isFirst := maxHeadBytes, conn.isNew
 	for range maxStaleAnswers {
 		response, err := conn.readHead(method, &headBytesLeft)
 		if err != nil {
 			return nil, ResponseInfo{}, fmt.Errorf("read answer: %w", err)
 		}
-		if !conn.isNew && isTornHead(response) {
+		if !isFirst && isTornHead(response) {
 			return nil, ResponseInfo{}, errTornHead
 		}
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
 		info := dialect.ParseResponse(response.StatusCode, response.Header, time.Now())
-		if isOwnAnswer(info.IDs, id, conn.isNew) {
+		if isOwnAnswer(info.IDs, id, isFirst) {
 			return response, info, nil
 		}
+		isFirst = false
 		if err := skipBody(response); err != nil {
 			return nil, ResponseInfo{}, fmt.Errorf("skip answer to another request: %w", err)
 		}
