Send requests without an id over new connections

What callers saw, in a test: a request without an id, on a route that may repeat, got an earlier answer that had none either: 503 for a request that had run, or the body of an earlier answer as its own.

Cause: on a kept connection the absent id of the answer equals the absent id of the request. Nothing else tells the two answers apart, so such a request now goes over a connection that carried no other one. Requests with an id are not affected; by the platform's protocol all callers send one.

--- a/lib/gateways/ambiguous_answers_test.go
+++ b/lib/gateways/ambiguous_answers_test.go
@@ -57,3 +57,22 @@
 		convey.So(status, convey.ShouldEqual, http.StatusServiceUnavailable)
 	})
 }
+
+// Guards against requests without an id that get an earlier answer without one on a kept
+// connection.
+func TestRequestsWithoutIDGetNoEarlierAnswers(t *testing.T) {
+	for name, earlier := range map[string]string{
+		"refusal": refusalText(http.StatusServiceUnavailable, ""),
+		"success": "HTTP/1.1 200 OK\r\nSigned: yes\r\nContent-Length: 3\r\n\r\nold",
+	} {
+		convey.Convey(fmt.Sprintf("Given a server that writes an earlier %s without an id", name), t, func() {
+			server := newRepeatingServer(t, answer(http.StatusOK, signedHeader, "slip"), onNextRequest, func(string) []string { return []string{earlier} })
+			fixture := newGatewayFixture(t, 1, server.scriptedServer)
+			for range 3 {
+				status, _, body, _ := fixture.post(t, "/again/", "", "Id", "")
+				convey.So(status, convey.ShouldEqual, http.StatusOK)
+				convey.So(body, convey.ShouldEqual, "slip")
+			}
+		})
+	}
+}
--- a/lib/gateways/attempts.go
+++ b/lib/gateways/attempts.go
@@ -113,8 +113,10 @@
 	return attempt
 }
 
+// connect opens a connection to the server. An answer to a request without an id can't be
+// told from an earlier one, so its connection must be new.
 func (request *request) connect(ctx context.Context, server placements.Server) (*connection, error) {
-	requireNew := !request.match.Route.MayRetry() || request.isReplacementAnnounced(server)
+	requireNew := request.info.ID == "" || !request.match.Route.MayRetry() || request.isReplacementAnnounced(server)
 	return request.gateway.pool.get(ctx, server.ID, server.Address, requireNew)
 }
 
