Believe "not run" only with a status of an answer that was not run

What callers saw, in a test: 503 for requests that had run, on each kind of route, those that run once among them. The statement "not run" stood in the head of the engine's success, or of its 500, 502 or 504, as when the header of an earlier refusal is left in the next answer on the connection.

Cause: the statement alone decided. By the platform's protocol, refusals are 503, 429, 421 and 400, and an engine's own 500 and 504 count as run. The statement now counts with a 4xx or 503 only; other answers are passed on as they are, by their status, body and signature, and are no promise. Real refusals (400, 408, 421, 429, 503) are still answered 503; the test has them too.

--- a/lib/gateways/ambiguous_answers_test.go
+++ b/lib/gateways/ambiguous_answers_test.go
@@ -76,3 +76,31 @@
 		})
 	}
 }
+
+// Guards against the statement of an earlier refusal, left in the head of an answer that
+// shows that the request ran: its caller would be told that it did not run, or it would run
+// at a second server.
+func TestStatementsOfAnswersThatRanAreNotBelieved(t *testing.T) {
+	const statement = "Not-Run: 1\r\n"
+	for _, path := range []string{"/once/", "/events-once/", "/again/"} {
+		for _, status := range []int{http.StatusOK, http.StatusInternalServerError, http.StatusBadGateway, http.StatusGatewayTimeout} {
+			convey.Convey(fmt.Sprintf("Given answers of %d on %s that state that they did not run", status, path), t, func() {
+				contradiction := answer(status, signedHeader+statement, "data: slip\n\n")
+				servers := []*scriptedServer{newScriptedServer(t, contradiction), newScriptedServer(t, contradiction)}
+				got, _, body, err := newGatewayFixture(t, 1, servers...).post(t, path, "")
+				convey.So(err, convey.ShouldBeNil)
+				convey.So(got, convey.ShouldEqual, status)
+				convey.So(body, convey.ShouldEqual, "data: slip\n\n")
+				if path != "/again/" {
+					convey.So(len(servers[0].requests())+len(servers[1].requests()), convey.ShouldEqual, 1)
+				}
+			})
+		}
+	}
+	for _, status := range []int{http.StatusBadRequest, http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
+		convey.Convey(fmt.Sprintf("Given refusals of %d, the promise is passed on", status), t, func() {
+			got, _, _, _ := newGatewayFixture(t, 1, newScriptedServer(t, answer(status, statement, ""))).post(t, "/once/", "")
+			convey.So(got, convey.ShouldEqual, http.StatusServiceUnavailable)
+		})
+	}
+}
--- a/lib/gateways/answer_owner.go
+++ b/lib/gateways/answer_owner.go
@@ -2,7 +2,7 @@
 
 // A faulty server may write an earlier answer once more on a connection that is in use
 // again. This file decides whether what was read is the answer to the request that is
-// under way.
+// under way, and whether its statement that the request did not run can be true.
 
 import (
 	"errors"
@@ -41,3 +41,9 @@
 	}
 	return !slices.ContainsFunc(ids, func(each string) bool { return each != id })
 }
+
+// mayBeRefusal reports whether a server that did not run a request may answer with the
+// status. A success and the other server errors are answers of servers that ran it.
+func mayBeRefusal(status int) bool {
+	return status >= http.StatusBadRequest && status < http.StatusInternalServerError || status == http.StatusServiceUnavailable
+}
--- a/lib/gateways/connections.go
+++ b/lib/gateways/connections.go
@@ -188,6 +188,7 @@
 		}
 		info := dialect.ParseResponse(response.StatusCode, response.Header, time.Now())
 		if isOwnAnswer(info.IDs, id, isFirst) {
+			info.NotRun = info.NotRun && mayBeRefusal(response.StatusCode)
 			return response, info, nil
 		}
 		isFirst = false
