Use no connection to a backend server on which bytes came that nobody requested

What callers saw, in a test: "overloaded, not run" for 10 of 20 calls that had run.

Cause: the pool handed out idle connections unchecked, and what had arrived on them meanwhile was read as the answer to the next request. A backend server that wrote an earlier refusal once more made every second call fail. Ruled out: calls that run at most once, which use new connections (0 of 20).

Change: an idle connection that holds bytes or was closed is closed and not used again, as at the entries. The check moves from lib/gateways to dialers.IsIdle.

Not covered: a refusal that comes after the next request was sent, since this protocol's refusals bear no id. It can only hit requests that may repeat, and orders.

--- a/lib/dialers/unrequested.go
+++ b/lib/dialers/unrequested.go
@@ -77,3 +77,9 @@
 	}
 	return count, recvErr
 }
+
+// IsIdle reports whether a connection is open and holds no bytes that were not read.
+func IsIdle(conn net.Conn) bool {
+	count, err := Peek(conn)
+	return count < 0 && errors.Is(err, syscall.EAGAIN)
+}
--- a/lib/engines/connection_pool.go
+++ b/lib/engines/connection_pool.go
@@ -6,6 +6,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"firford/lib/dialers"
 )
 
 const (
@@ -49,10 +51,15 @@
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
-	if !newConnection {
-		if reused := pool.popIdle(); reused != nil {
+	for !newConnection {
+		reused := pool.popIdle()
+		if reused == nil {
+			break
+		}
+		if reused.isReusable() {
 			return reused, nil
 		}
+		_ = reused.Close()
 	}
 	dialer := net.Dialer{Timeout: pool.options.SilenceLimit}
 	conn, err := dialer.DialContext(ctx, "tcp", pool.options.Address)
@@ -78,6 +85,12 @@
 	return reused
 }
 
+// isReusable reports whether an idle connection is still open and holds no bytes that
+// nobody requested. A refusal among them would count as the answer to the next request.
+func (conn *connection) isReusable() bool {
+	return conn.reader.Buffered() == 0 && dialers.IsIdle(conn.Conn)
+}
+
 // release returns a connection to the pool, after its answer has been read to
 // the end.
 func (pool *pool) release(conn *connection) {
--- a/lib/gateways/connections.go
+++ b/lib/gateways/connections.go
@@ -144,8 +144,7 @@
 // isReusable reports whether an idle connection is still open and holds no
 // unrequested bytes.
 func (conn *connection) isReusable() bool {
-	count, err := dialers.Peek(conn.Conn)
-	return conn.reader.Buffered() == 0 && count < 0 && errors.Is(err, syscall.EAGAIN)
+	return conn.reader.Buffered() == 0 && dialers.IsIdle(conn.Conn)
 }
 
 // isClosedByPeer reports whether the peer has closed its end. Unread bytes that
