Send no transaction on a connection on which an earlier answer has arrived

In a test, transactions that were in conflict counted as written, and written ones as refused ("nothing was done"). A claim that another entry holds would so count as won, and its request could run at a second engine; that was not played, only the client's result was seen.

What arrives on its idle connections is read as the answer to the next call. Ruled out: what arrives together with an answer, which fasthttp drops.

Change: its connections refuse to send once bytes came that nobody requested. The call is then repeated once, as nothing was sent, unless its body is a stream that was read in part; that one fails as not sent.

Not covered: an earlier answer that arrives after the next call was sent, since these answers bear no id.

--- a/lib/platform/client.go
+++ b/lib/platform/client.go
@@ -17,6 +17,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"firford/lib/dialers"
 	"firford/lib/hosts"
 )
 
@@ -76,7 +77,11 @@
 			MaxResponseBodySize:       maxResponseBytes,
 			MaxIdemponentCallAttempts: 1,
 			Dial: func(address string) (net.Conn, error) {
-				return fasthttp.DialTimeout(address, time.Second)
+				conn, err := fasthttp.DialTimeout(address, time.Second)
+				if err != nil {
+					return nil, err
+				}
+				return dialers.WithoutUnrequestedBytes(conn), nil
 			},
 		},
 	}
@@ -107,16 +112,22 @@
 	if ctx.Err() != nil || !time.Now().Before(deadline) {
 		return 0, nil, false, context.Cause(ctx)
 	}
-	if err := client.http.DoDeadline(request, response, deadline); err != nil {
-		return 0, nil, !isDialError(err), err
+	err = client.http.DoDeadline(request, response, deadline)
+	if errors.Is(err, dialers.ErrUnrequestedBytes) && !request.IsBodyStream() {
+		// Nothing was sent, and the connection is closed. A stream was read in part.
+		err = client.http.DoDeadline(request, response, deadline)
+	}
+	if err != nil {
+		return 0, nil, !isUnsent(err), err
 	}
 	return response.StatusCode(), append([]byte(nil), response.Body()...), true, nil
 }
 
-// isDialError reports whether no connection was made, so that nothing was sent.
-func isDialError(err error) bool {
+// isUnsent reports whether nothing was sent, since no connection was made or the open one
+// held an earlier answer.
+func isUnsent(err error) bool {
 	var operation *net.OpError
-	return errors.Is(err, fasthttp.ErrDialTimeout) || errors.Is(err, fasthttp.ErrNoFreeConns) ||
+	return errors.Is(err, dialers.ErrUnrequestedBytes) || errors.Is(err, fasthttp.ErrDialTimeout) || errors.Is(err, fasthttp.ErrNoFreeConns) ||
 		errors.As(err, &operation) && operation.Op == "dial"
 }
 
