Continue a stream only with events that follow the last one

What callers saw: a stream broke off, or its server fell silent for a while, and the next server answered the resumed request with a signed 200 that was no continuation. Its text was passed on: JSON, plain text and pages with empty lines, an error as an event, the raw head of another answer. A server that took no notice of the id of the last event gave all events twice.

Cause: every 200 with a signature on a route of streams was split at empty lines and passed on; nothing compared it with what the caller had.

Ruled out: other statuses (201, 204, 302, 304, 400 to 504, with and without a signature or an event stream as body), answers without a signature or with another request's id, half heads, no head, and a head in place of a chunk held before. In-between answers and bytes after the end were dropped.

Mend: each event from a server that did not begin the stream must have an id that comes after the last one. Otherwise nothing of what was read is passed on, and the attempt has failed: another server may go on, the first one if it was only silent, or the caller's connection breaks off. Comments may come between events. The server that began the stream is not checked, since its answer has to stay as it is. Ids that are no numbers need only differ. An id that is left out can't be noticed: ids increase, by how much is not said.

--- a/lib/gateways/attempts.go
+++ b/lib/gateways/attempts.go
@@ -25,7 +25,8 @@
 type (
 	// attempt is a request at one server. silentAt is when the server counts as silent,
 	// zero if no other server may take its place. conn is nil until the connection is open,
-	// and head is nil until the head of the answer has arrived, at beganAt.
+	// and head is nil until the head of the answer has arrived, at beganAt. hasBegunStream
+	// is set if the caller got the first event from this attempt.
 	attempt struct {
 		reservation *placements.Reservation
 		conn        *connection
@@ -39,6 +40,8 @@
 		buffers *requestBuffers
 		head    *answerHead
 		beganAt time.Time
+
+		hasBegunStream bool
 	}
 
 	// answerPart is what an attempt reports: that its connection is open, or a part of the
--- a/lib/gateways/forward.go
+++ b/lib/gateways/forward.go
@@ -157,8 +157,13 @@
 	_, _ = request.writer.Write(answer.body) // Fails only if the caller has disconnected.
 }
 
-// deliverEvents passes events on to the caller.
+// deliverEvents passes events on to the caller. It passes on none if one of them does not
+// belong there, since another attempt may go on after the last one that the caller has.
 func (request *request) deliverEvents(attempt *attempt, events answerEvents) attemptResult {
+	if err := request.checkContinuation(attempt, events.text); err != nil {
+		return outcomeUnknown{err: err}
+	}
+	attempt.hasBegunStream = attempt.hasBegunStream || !request.streaming
 	request.beginStream(attempt.head.response)
 	if _, err := request.writer.Write(events.text); err != nil {
 		return callerGone{}
--- a/lib/gateways/sse.go
+++ b/lib/gateways/sse.go
@@ -7,6 +7,7 @@
 import (
 	"bytes"
 	"io"
+	"iter"
 )
 
 const (
@@ -115,3 +116,26 @@
 	}
 	return id
 }
+
+// eventIDs returns the id of each event in the text, which is empty for an event without
+// one. Comments and reconnection times are no events.
+func eventIDs(text []byte) iter.Seq[string] {
+	return func(yield func(string) bool) {
+		id, isEvent := "", false
+		for line := range bytes.Lines(text) {
+			line = bytes.TrimSuffix(bytes.TrimSuffix(line, []byte("\n")), []byte("\r"))
+			value, hasID := bytes.CutPrefix(line, []byte("id:"))
+			switch {
+			case hasID:
+				id, isEvent = string(bytes.TrimSpace(value)), true
+			case len(line) > 0:
+				isEvent = isEvent || line[0] != ':' && !bytes.HasPrefix(line, []byte("retry:"))
+			case isEvent:
+				if !yield(id) {
+					return
+				}
+				id, isEvent = "", false
+			}
+		}
+	}
+}
--- a/lib/gateways/sse_test.go
+++ b/lib/gateways/sse_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
+	"slices"
 	"strings"
 	"testing"
 	"testing/iotest"
@@ -42,6 +44,21 @@
 	})
 }
 
+// Guards against resumed streams that are given up because of a comment, which servers send
+// to keep a connection open, and against errors that pass for one.
+func TestOnlyEventsHaveToHaveIDs(t *testing.T) {
+	for text, ids := range map[string][]string{
+		": wait\n\nretry: 100\n\n":                   nil,
+		"id: 1\r\ndata: a\r\n\r\n: wait\n\nid:2\n\n": {"1", "2"},
+		"id: 1\ndata: a\n\n: wait\nevent: error\n\n": {"1", ""},
+		"HTTP/1.1 502 Bad Gateway\r\nAge: 0\r\n\r\n": {""},
+	} {
+		convey.Convey(fmt.Sprintf("Given %q", text), t, func() {
+			convey.So(slices.Collect(eventIDs([]byte(text))), convey.ShouldResemble, ids)
+		})
+	}
+}
+
 // Guards against a stream whose event or event id is kept although it has no end, and
 // against events of many streams that together take more memory than the budget allows.
 func TestLongEvents(t *testing.T) {
