Don't resume a stream whose last event has no id

What callers saw: a stream broke off or fell silent after an event without an id, and the next server sent events that they already had: all of them if none had an id, otherwise those after the last one with an id.

Cause: the id to resume after was that of the last event that has one. An event without an id moved on what the caller has, but not that id.

Mend: while the last event that the caller has bears no id, no other server gets the request. The first one keeps it, also if it is silent, and if it breaks off, so does the caller's connection. Comments and reconnection times are no events and change nothing.

Evidence: TestStreamWithoutPositionIsNotResumed, before the mend: in 8 of 8 cases (four kinds of last event, broken off and silent) callers got events twice and a complete end; with it none. The tests of the event reader lost the second value that next no longer returns, and check the same.

--- a/lib/gateways/attempts.go
+++ b/lib/gateways/attempts.go
@@ -60,12 +60,9 @@
 		info     ResponseInfo
 	}
 
-	// answerEvents are complete events of a stream. lastID is the id of the last one that
-	// has an id. The text is valid until the attempt's next part is asked for.
-	answerEvents struct {
-		text   []byte
-		lastID string
-	}
+	// answerEvents are complete events of a stream. The text is valid until the attempt's
+	// next part is asked for.
+	answerEvents struct{ text []byte }
 
 	// answerBody is the complete body of an answer that is no stream, with the memory that it
 	// takes.
@@ -195,7 +192,7 @@
 	reader := newEventReader(body, attempt.buffers)
 	defer reader.free()
 	for {
-		text, lastID, err := reader.next()
+		text, err := reader.next()
 		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
 			attempt.pass(answerEnd{})
 			return
@@ -204,7 +201,7 @@
 			attempt.pass(answerEnd{err: err})
 			return
 		}
-		if !attempt.pass(answerEvents{text: text, lastID: lastID}) || !attempt.awaitHandled() {
+		if !attempt.pass(answerEvents{text: text}) || !attempt.awaitHandled() {
 			return
 		}
 	}
--- a/lib/gateways/broken_streams_test.go
+++ b/lib/gateways/broken_streams_test.go
@@ -99,7 +99,7 @@
 			return "its first events, " + end
 		}
 	}
-	return fmt.Sprintf("FOREIGN TEXT %q, %s", text, end)
+	return fmt.Sprintf("other text %q, %s", text, end)
 }
 
 // decodeChunks returns the text of the chunks and how they end.
--- a/lib/gateways/forward.go
+++ b/lib/gateways/forward.go
@@ -171,8 +171,8 @@
 	if err := http.NewResponseController(request.writer).Flush(); err != nil {
 		return callerGone{}
 	}
-	if events.lastID != "" {
-		request.lastEventID = events.lastID
+	for id := range eventIDs(events.text) {
+		request.lastEventID, request.positionLost = id, id == ""
 	}
 	request.lastDeliveredAt = time.Now()
 	attempt.silentAt = request.nextSilentAt()
--- a/lib/gateways/gateway.go
+++ b/lib/gateways/gateway.go
@@ -211,9 +211,11 @@
 	// refusal states why the request got no reservation, nil if it was never refused.
 	refusal *refusal
 	// streaming is set once the head of a streamed answer was sent to the caller.
-	// lastEventID is the id of the last event that the caller received.
-	streaming   bool
-	lastEventID string
+	// lastEventID is the id of the last event that the caller received. positionLost is set
+	// if that event has no id, after which no server can know where to go on.
+	streaming    bool
+	lastEventID  string
+	positionLost bool
 	// buffers holds the memory of the bodies that were passed on to the request.
 	buffers []*requestBuffers
 }
--- a/lib/gateways/resumed_streams_test.go
+++ b/lib/gateways/resumed_streams_test.go
@@ -154,3 +154,40 @@
 		})
 	}
 }
+
+// Guards against events that the caller gets twice because the last one that it has bears
+// no id, so that the next server can't know where to go on.
+func TestStreamWithoutPositionIsNotResumed(t *testing.T) {
+	const header = eventsHeader + chunkedHeader
+	unnumbered := func(text string) string { return strings.ReplaceAll(text, "id:", "number:") }
+	begun := completeStream(brokenEvent)
+	for name, events := range map[string]string{
+		"events without ids":        unnumbered(begun),
+		"a last event without id":   completeStream(brokenEvent-1) + unnumbered(event(brokenEvent-1)),
+		"a last event of empty id":  completeStream(brokenEvent-1) + "id:\ndata: token\n\n",
+		"a last event and comments": unnumbered(begun) + ": wait\n\n",
+	} {
+		for end, first := range map[string]script{
+			"breaks off": rawAnswer(http.StatusOK, header, chunk(events)),
+			"is silent": func(conn net.Conn, received *http.Request) bool {
+				rawAnswer(http.StatusOK, header, chunk(events))(conn, received)
+				return hang(conn, received)
+			},
+		} {
+			convey.Convey(fmt.Sprintf("Given a stream with %s that %s", name, end), t, func() {
+				got := newTurnsFixture(t, first, streamUntil(lastEvent+1, true)).rawExchange(t, "/events/", shortTimeout)
+				convey.So(got, convey.ShouldEqual, fmt.Sprintf("other text %q, broken off", events))
+			})
+		}
+	}
+	convey.Convey("Given a stream with an event without id before others, the next server goes on", t, func() {
+		begun := rawAnswer(http.StatusOK, header, chunk("data: hello\n\n"+completeStream(brokenEvent)))
+		got := newTurnsFixture(t, begun, streamUntil(lastEvent+1, true)).rawExchange(t, "/events/", "")
+		convey.So(got, convey.ShouldEqual, fmt.Sprintf("other text %q, complete", "data: hello\n\n"+completeStream(lastEvent+1)))
+	})
+	convey.Convey("Given a stream of which only a comment came, the next server begins it again", t, func() {
+		begun := rawAnswer(http.StatusOK, header, chunk(": wait\n\n"))
+		got := newTurnsFixture(t, begun, streamUntil(lastEvent+1, true)).rawExchange(t, "/events/", "")
+		convey.So(got, convey.ShouldEqual, fmt.Sprintf("other text %q, complete", ": wait\n\n"+completeStream(lastEvent+1)))
+	})
+}
--- a/lib/gateways/retries.go
+++ b/lib/gateways/retries.go
@@ -213,7 +213,7 @@
 // mayRetry reports whether the request may be sent to one more server. It takes a
 // retry from the service's retry budget if nothing else prevents that.
 func (request *request) mayRetry(ctx context.Context) bool {
-	if request.sentCount >= max(1, request.match.Route.MaxAttempts) || ctx.Err() != nil || request.callerGaveUp(time.Now()) {
+	if request.positionLost || request.sentCount >= max(1, request.match.Route.MaxAttempts) || ctx.Err() != nil || request.callerGaveUp(time.Now()) {
 		return false
 	}
 	if !request.gateway.Quarantines.MayRepeat(request.traits) {
--- a/lib/gateways/sse.go
+++ b/lib/gateways/sse.go
@@ -40,32 +40,28 @@
 	reader.pending = nil
 }
 
-// next returns all complete events that have arrived, with their terminators, and
-// the id of the last of them that has one. It blocks until there is at least one. The
-// events are valid until the next call.
+// next returns all complete events that have arrived, with their terminators. It blocks
+// until there is at least one. The events are valid until the next call.
 // At the end of the stream it returns io.EOF, or io.ErrUnexpectedEOF if the stream
 // ended within an event. For an event that exceeds maxEventBytes or has an id that
 // exceeds maxEventIDBytes it returns a tooLongError.
-func (reader *eventReader) next() (complete []byte, lastID string, err error) {
+func (reader *eventReader) next() (complete []byte, err error) {
 	reader.pending = append(reader.pending[:0], reader.pending[reader.returned:]...)
 	reader.returned, reader.searched = 0, len(reader.pending)
 	for {
 		if end := reader.findEnd(); end > 0 {
 			reader.returned = end
 			complete = reader.pending[:end:end]
-			if lastID = lastEventID(complete); len(lastID) > maxEventIDBytes {
-				return nil, "", &tooLongError{part: partID, limit: maxEventIDBytes}
-			}
-			return complete, lastID, nil
+			return complete, checkIDs(complete)
 		}
 		if reader.readErr != nil {
-			return nil, "", reader.endError()
+			return nil, reader.endError()
 		}
 		if len(reader.pending) > maxEventBytes {
-			return nil, "", &tooLongError{part: partEvent, limit: maxEventBytes}
+			return nil, &tooLongError{part: partEvent, limit: maxEventBytes}
 		}
 		if reader.pending, err = reader.buffers.makeRoom(reader.pending, maxEventBytes+1); err != nil {
-			return nil, "", err
+			return nil, err
 		}
 		count, err := reader.body.Read(reader.pending[len(reader.pending):cap(reader.pending)])
 		reader.pending = reader.pending[:len(reader.pending)+count]
@@ -107,14 +103,14 @@
 	}
 }
 
-func lastEventID(events []byte) string {
-	id := ""
-	for _, line := range bytes.Split(events, []byte("\n")) {
-		if value, found := bytes.CutPrefix(line, []byte("id:")); found {
-			id = string(bytes.TrimSpace(value))
+// checkIDs returns an error if an id of the events is too long to be kept.
+func checkIDs(events []byte) error {
+	for id := range eventIDs(events) {
+		if len(id) > maxEventIDBytes {
+			return &tooLongError{part: partID, limit: maxEventIDBytes}
 		}
 	}
-	return id
+	return nil
 }
 
 // eventIDs returns the id of each event in the text, which is empty for an event without
--- a/lib/gateways/sse_test.go
+++ b/lib/gateways/sse_test.go
@@ -22,7 +22,7 @@
 		reader := newEventReader(iotest.OneByteReader(strings.NewReader(text)), &requestBuffers{budget: &bufferBudget{}})
 		var got strings.Builder
 		for {
-			part, _, err := reader.next()
+			part, err := reader.next()
 			if err == nil {
 				if !strings.HasSuffix(string(part), "\n") {
 					t.Fatalf("part %q does not end an event", part)
@@ -63,7 +63,7 @@
 // against events of many streams that together take more memory than the budget allows.
 func TestLongEvents(t *testing.T) {
 	next := func(text string, buffers *requestBuffers) error {
-		_, _, err := newEventReader(strings.NewReader(text), buffers).next()
+		_, err := newEventReader(strings.NewReader(text), buffers).next()
 		return err
 	}
 	convey.Convey("Given an event that exceeds the limit, then it fails", t, func() {
--- a/lib/gateways/takeover.go
+++ b/lib/gateways/takeover.go
@@ -228,7 +228,7 @@
 
 // allowsTakeover reports whether the route allows one more server beside the present one.
 func (request *request) allowsTakeover() bool {
-	return request.match.Route.MayRetry() && request.sentCount+1 < request.match.Route.MaxAttempts &&
+	return request.match.Route.MayRetry() && !request.positionLost && request.sentCount+1 < request.match.Route.MaxAttempts &&
 		request.connectFailures < maxConnectFailures && request.misdirections < maxMisdirections &&
 		request.gateway.Quarantines.MayRepeat(request.traits)
 }
