End a stream only by events or an event stream that is complete

What callers saw: a stream broke off, or its server fell silent for a while, and the next server answered the resumed request with a signed 200 without a body. The stream ended as complete after its first events, also when the silent server went on a moment later.

Cause: an answer without any event was taken as a stream that has ended, in whatever form it came.

Ruled out: chunks without the last one and a length that is not reached were noticed before. Streams without a length that end between two events can't be told from whole ones; the platform says that broken ones are reset.

Mend: an answer without events ends a stream only if it has a length or chunks, and, for a stream that the caller has begun to read, if it says that it is an event stream. A server that is asked to go on after the last event may have nothing left and says so; that ends the stream as before.

Evidence: TestAnswerWithoutEventsEndsNoStream.

--- a/lib/gateways/attempts.go
+++ b/lib/gateways/attempts.go
@@ -26,7 +26,7 @@
 	// attempt is a request at one server. silentAt is when the server counts as silent,
 	// zero if no other server may take its place. conn is nil until the connection is open,
 	// and head is nil until the head of the answer has arrived, at beganAt. hasBegunStream
-	// is set if the caller got the first event from this attempt.
+	// is set if the caller got the first event from this attempt, hasEvents if it got any.
 	attempt struct {
 		reservation *placements.Reservation
 		conn        *connection
@@ -41,7 +41,7 @@
 		head    *answerHead
 		beganAt time.Time
 
-		hasBegunStream bool
+		hasBegunStream, hasEvents bool
 	}
 
 	// answerPart is what an attempt reports: that its connection is open, or a part of the
--- a/lib/gateways/forward.go
+++ b/lib/gateways/forward.go
@@ -93,7 +93,7 @@
 		if part.err != nil {
 			return request.classifyError(ctx, part.err)
 		}
-		return request.finishStream(attempt.head.response)
+		return request.finishStream(attempt)
 	default:
 		return outcomeUnknown{err: fmt.Errorf("unknown part of an answer: %T", part)}
 	}
@@ -172,6 +172,7 @@
 		return callerGone{}
 	}
 	for id := range eventIDs(events.text) {
+		attempt.hasEvents = true
 		request.lastEventID, request.positionLost = id, id == ""
 	}
 	request.lastDeliveredAt = time.Now()
@@ -194,7 +195,11 @@
 	request.writer.WriteHeader(response.StatusCode)
 }
 
-func (request *request) finishStream(response *http.Response) attemptResult {
+func (request *request) finishStream(attempt *attempt) attemptResult {
+	response := attempt.head.response
+	if !attempt.hasEvents && !request.mayEndStream(response) {
+		return outcomeUnknown{err: errNoEvents}
+	}
 	request.beginStream(response)
 	request.recordAnswered(response.StatusCode, zap.String("last_event", request.lastEventID))
 	return delivered{}
--- a/lib/gateways/resumed_streams_test.go
+++ b/lib/gateways/resumed_streams_test.go
@@ -191,3 +191,33 @@
 		convey.So(got, convey.ShouldEqual, fmt.Sprintf("other text %q, complete", ": wait\n\n"+completeStream(lastEvent+1)))
 	})
 }
+
+// Guards against a stream that ends as complete because a server answered with nothing: an
+// error without a text, or an answer that broke off after its head.
+func TestAnswerWithoutEventsEndsNoStream(t *testing.T) {
+	const jsonHeader = signedHeader + "Content-Type: application/json\r\n"
+	convey.Convey("Given a stream that breaks off, and a next server that answers with nothing", t, func() {
+		goldie.New(t).Assert(t, "empty_answers", describeResumptions(t, []namedScript{
+			{"length 0", answer(http.StatusOK, signedHeader, "")},
+			{"JSON of length 0", answer(http.StatusOK, jsonHeader, "")},
+			{"no chunks", rawAnswer(http.StatusOK, signedHeader+chunkedHeader, lastChunk)},
+			{"no chunks of JSON", rawAnswer(http.StatusOK, jsonHeader+chunkedHeader, lastChunk)},
+			{"a head that states events", rawAnswer(http.StatusOK, eventsHeader, "")},
+			{"a head that states chunks", rawAnswer(http.StatusOK, eventsHeader+chunkedHeader, "")},
+		}))
+	})
+	whole := rawAnswer(http.StatusOK, eventsHeader+chunkedHeader, chunk(completeStream(lastEvent+1)))
+	for name, nothing := range map[string]script{
+		"of length 0": answer(http.StatusOK, eventsHeader, ""),
+		"in chunks":   rawAnswer(http.StatusOK, eventsHeader+chunkedHeader, lastChunk),
+	} {
+		convey.Convey("Given a stream that breaks off after its last event and an event stream without events "+name, t, func() {
+			convey.So(newTurnsFixture(t, whole, nothing).rawExchange(t, "/events/", ""), convey.ShouldEqual, "the whole stream, complete")
+		})
+	}
+	convey.Convey("Given a first server that breaks off after a head without a length", t, func() {
+		broken, sound := rawAnswer(http.StatusOK, eventsHeader, ""), streamUntil(lastEvent+1, true)
+		convey.So(newTurnsFixture(t, broken, sound).rawExchange(t, "/events/", ""), convey.ShouldEqual, "the whole stream, complete")
+		convey.So(newTurnsFixture(t, broken, sound).rawExchange(t, "/events-once/", ""), convey.ShouldEqual, `HTTP/1.1 502 Bad Gateway and "answer lost\n"`)
+	})
+}
--- a/lib/gateways/resumption.go
+++ b/lib/gateways/resumption.go
@@ -6,6 +6,8 @@
 
 import (
 	"errors"
+	"mime"
+	"net/http"
 	"strconv"
 )
 
@@ -15,8 +17,12 @@
 	errNoEventID = errors.New("resumed stream holds an event without an id")
 	// errRepeatedEvent is the error of a resumed stream that begins too early.
 	errRepeatedEvent = errors.New("resumed stream repeats an event")
+	// errNoEvents is the error of a stream that ended without any event and may be broken.
+	errNoEvents = errors.New("stream without events and without a sure end")
 )
 
+const eventStreamType = "text/event-stream"
+
 // checkContinuation returns an error if another server began the stream and not all of the
 // events follow the last one that the caller has.
 func (request *request) checkContinuation(attempt *attempt, events []byte) error {
@@ -46,3 +52,12 @@
 	number, err := strconv.ParseInt(id, 10, 64)
 	return err == nil && number > last
 }
+
+// mayEndStream reports whether a complete answer without events is the end of the stream.
+// One that only the end of its connection ends may have broken off after its head. A
+// resumed stream may have no events left, but then the server says that it is one.
+func (request *request) mayEndStream(response *http.Response) bool {
+	isFramed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+	contentType, _, err := mime.ParseMediaType(response.Header.Get("Content-Type"))
+	return isFramed && (!request.streaming || err == nil && contentType == eventStreamType)
+}
