Don't take a refused question about an attempt for a refused attempt

What callers would have seen on the product's own interface: the link to an agent broke off in the middle of an answer, and its next link was overloaded.

Cause: a call that a link refuses has not been seen by the agent. For the call that sends an attempt this proves that nothing ran. The calls that ask for its state and collect its answer go over a later link, and their refusal counted as the same proof.

Ruled out: joined parts. Parts are passed on in order of their numbers, and an answer must match its number of parts and its digest.

Mend: only the call that sends the attempt may end it as not run. The others are repeated up to five times within half a second, since a link that has just been opened may have all calls at once, and then count like a lost connection: the outcome is unknown, and a repeat of the key collects it.

Evidence: TestRefusedCallsDoNotProveThatNothingRan. Before the mend: 3 runs instead of 1 for both calls, "not run" as the outcome, and the invariant true_refusal violated.

--- a/lib/requests/client.go
+++ b/lib/requests/client.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"firford/lib/links"
+	"firford/lib/waits"
 )
 
 const (
@@ -23,6 +24,10 @@
 	// Limit on collecting a truncated answer over one connection, and on
 	// continuing an attempt over new connections.
 	maxCollectAttempts = 3
+	// Pause before a call is repeated that an overloaded link has refused, and
+	// limit on such calls.
+	refusedCallPause = 100 * time.Millisecond
+	maxRefusedCalls  = 5
 )
 
 type (
@@ -49,8 +54,8 @@
 
 // Errors of an attempt.
 var (
-	// ErrConnectionLost means that the connection ended or stayed silent before
-	// the outcome arrived.
+	// ErrConnectionLost means that the connection ended, stayed silent or refused
+	// to continue before the outcome arrived.
 	ErrConnectionLost = errors.New("the connection ended before the outcome arrived")
 	// ErrRefusedByLink means that the link refused the call, so nothing has
 	// run.
@@ -143,6 +148,9 @@
 func (attempt *Attempt) Run(ctx context.Context, peer Peer) (Outcome, error) {
 	var result runResult
 	err := peer.Call(ctx, methodRun, newRunParams(attempt.request, time.Now()), &result)
+	if refusedByLink(err) {
+		return nil, fmt.Errorf("%w: %w", ErrRefusedByLink, err)
+	}
 	return attempt.verifiedOutcome(ctx, peer, result, err)
 }
 
@@ -159,7 +167,7 @@
 		AfterPart: attempt.LastPart(),
 		BudgetMS:  time.Until(attempt.request.Deadline).Milliseconds(),
 	}
-	err := peer.Call(ctx, methodCollect, params, &result)
+	err := callAboutAttempt(ctx, peer, methodCollect, params, &result)
 	return result, err
 }
 
@@ -169,7 +177,7 @@
 func (attempt *Attempt) verifiedOutcome(ctx context.Context, peer Peer, result runResult, err error) (Outcome, error) {
 	for range maxCollectAttempts {
 		if err != nil {
-			return nil, classifyCallError(err)
+			return nil, fmt.Errorf("%w: %w", ErrConnectionLost, err)
 		}
 		attempt.recordLoad(result)
 		outcome := result.outcome(time.Now())
@@ -185,11 +193,18 @@
 	return Unknown{Code: CodeStreamBroken, Message: "the answer does not match its digest"}, nil
 }
 
-func classifyCallError(err error) error {
-	if refusedByLink(err) {
-		return fmt.Errorf("%w: %w", ErrRefusedByLink, err)
+// callAboutAttempt calls the peer about an attempt that was sent before. An
+// overloaded link refuses the call, which says nothing about the attempt, so the
+// call is repeated a few times.
+func callAboutAttempt(ctx context.Context, peer Peer, method string, params, result any) error {
+	err := peer.Call(ctx, method, params, result)
+	for range maxRefusedCalls {
+		if !refusedByLink(err) || !waits.Sleep(ctx, refusedCallPause) {
+			break
+		}
+		err = peer.Call(ctx, method, params, result)
 	}
-	return fmt.Errorf("%w: %w", ErrConnectionLost, err)
+	return err
 }
 
 func (attempt *Attempt) recordLoad(result runResult) {
@@ -216,8 +231,8 @@
 	}
 	var result resolveResult
 	params := resolveParams{AttemptID: attemptID, Incarnation: incarnation}
-	if err := peer.Call(ctx, methodResolve, params, &result); err != nil {
-		return "", classifyCallError(err)
+	if err := callAboutAttempt(ctx, peer, methodResolve, params, &result); err != nil {
+		return "", fmt.Errorf("%w: %w", ErrConnectionLost, err)
 	}
 	return result.State, nil
 }
