Reset the connection of a caller of HTTP/1.0 whose stream breaks off

The platform's own callers speak HTTP/1.1 and were not affected.

Cause: the gateway shows that an answer broke off by the missing last chunk only.

Ruled out: chunks for these callers, which they can't read.

Mend: while a stream to such a caller is open, its connection is set to end with a reset; at the end of the stream it closes as usual again. That holds for every way in which the connection may end, also with the process.

Evidence: TestBrokenStreamOverHTTP10IsReset.

--- a/lib/gateways/broken_streams_test.go
+++ b/lib/gateways/broken_streams_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -10,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -204,3 +206,30 @@
 		convey.So(fixture.rawExchange(t, "/events/", ""), convey.ShouldEqual, expected)
 	})
 }
+
+// Guards against a broken stream that looks complete to a caller of HTTP/1.0, for which
+// only the end of the connection ends it.
+func TestBrokenStreamOverHTTP10IsReset(t *testing.T) {
+	read := func(path string, scripts ...script) (string, error) {
+		conn, err := net.Dial("tcp", newTurnsFixture(t, scripts...).address)
+		if err != nil {
+			return "", err
+		}
+		defer func() { _ = conn.Close() }()
+		fmt.Fprintf(conn, "POST %s HTTP/1.0\r\nHost: desk.example\r\nId: r-1\r\nKey: key\r\nContent-Length: 0\r\n\r\n", path)
+		received, err := io.ReadAll(conn)
+		_, body, _ := strings.Cut(string(received), "\r\n\r\n")
+		return body, err
+	}
+	convey.Convey("Given a stream that breaks off, its connection is reset", t, func() {
+		for _, path := range []string{"/events/", "/events-once/"} {
+			_, err := read(path, streamUntil(brokenEvent, false), streamUntil(brokenEvent+1, false))
+			convey.So(errors.Is(err, syscall.ECONNRESET), convey.ShouldBeTrue)
+		}
+	})
+	convey.Convey("Given a stream that another server completes, it ends with its connection", t, func() {
+		body, err := read("/events/", streamUntil(brokenEvent, false), streamUntil(lastEvent+1, true))
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(body, convey.ShouldEqual, completeStream(lastEvent+1))
+	})
+}
--- a/lib/gateways/forward.go
+++ b/lib/gateways/forward.go
@@ -188,6 +188,7 @@
 		return
 	}
 	request.streaming = true
+	request.resetOnClose(true)
 	header := request.writer.Header()
 	for name, values := range endToEndHeaders(response.Header) {
 		header[name] = values
@@ -201,6 +202,7 @@
 		return outcomeUnknown{err: errNoEvents}
 	}
 	request.beginStream(response)
+	request.resetOnClose(false)
 	request.recordAnswered(response.StatusCode, zap.String("last_event", request.lastEventID))
 	return delivered{}
 }
--- a/lib/gateways/gateway.go
+++ b/lib/gateways/gateway.go
@@ -98,6 +98,21 @@
 	return found && isClosedByPeer(conn)
 }
 
+// resetOnClose makes the connection of a caller of HTTP/1.0 end with a reset, or with an
+// ordinary close again. Its answers end with their connections, so that only a reset shows
+// that one has broken off.
+func (request *request) resetOnClose(isReset bool) {
+	conn, found := request.received.Context().Value(callerConnKey{}).(*callerConn)
+	if !found || request.received.ProtoAtLeast(1, 1) {
+		return
+	}
+	lingerSeconds := -1
+	if isReset {
+		lingerSeconds = 0
+	}
+	_ = conn.SetLinger(lingerSeconds) // Fails only on a closed connection.
+}
+
 // New returns a gateway that has not started to serve yet.
 func New(dependencies Dependencies) *Gateway {
 	gateway := &Gateway{Dependencies: dependencies, pool: newPool(), callerTimeouts: newCallerTimeouts(), bufferBudget: &bufferBudget{}, metrics: newGatewayMetrics(dependencies.Scope), sampler: newSampler(), unreadableLog: rate.Sometimes{Interval: unreadableLogInterval}, callerConns: &callerConns{open: map[net.Conn]connState{}}}
