End a resumed stream by an answer of the same type as the first

Cause: an answer without events ended a resumed stream only if it was an event stream by its content type. The platform does not say that streams have that type, so the answer now needs the type of the answer that began the stream.

The tests of broken and resumed streams state the type in all answers of sound servers.

--- a/lib/gateways/broken_streams_test.go
+++ b/lib/gateways/broken_streams_test.go
@@ -122,6 +122,12 @@
 	}
 }
 
+// goOn answers with the events after the caller's last one, none if that was the last.
+func goOn(conn net.Conn, received *http.Request) bool {
+	last, _ := strconv.Atoi(received.Header.Get("After"))
+	return answer(http.StatusOK, eventsHeader, restOfStream(last+1))(conn, received)
+}
+
 // brokenStreams are answers that break off in different places.
 func brokenStreams() []namedScript {
 	events, header := chunk(completeStream(brokenEvent)), eventsHeader+chunkedHeader
@@ -148,7 +154,7 @@
 			fmt.Fprintf(&text, "The first stream breaks off %s.\n", broken.name)
 			for _, next := range []namedScript{
 				{"the next server fails", answer(http.StatusInternalServerError, signedHeader, "failed\n\n")},
-				{"the next server goes on", streamUntil(lastEvent+1, true)},
+				{"the next server goes on", goOn},
 			} {
 				for _, path := range []string{"/events/", "/events-once/"} {
 					got := newTurnsFixture(t, broken.script, next.script).rawExchange(t, path, "")
--- a/lib/gateways/resumed_streams_test.go
+++ b/lib/gateways/resumed_streams_test.go
@@ -120,6 +120,14 @@
 	return rawAnswer(http.StatusOK, eventsHeader+chunkedHeader, chunk(completeStream(brokenEvent)+event(brokenEvent)[:9])+"size\r\n")
 }
 
+// silentForAWhile sends nothing for so long that another server gets the request as well.
+func silentForAWhile(conn net.Conn, received *http.Request) bool {
+	rawAnswer(http.StatusOK, eventsHeader+chunkedHeader, chunk(completeStream(brokenEvent)))(conn, received)
+	time.Sleep(silence)
+	fmt.Fprint(conn, chunk(restOfStream(brokenEvent))+lastChunk)
+	return false
+}
+
 // describeResumptions states for each form of the next server's answer what callers get
 // whose stream broke off, alone, with a sound server after it, and while the first server
 // is only silent for a while.
@@ -131,7 +139,7 @@
 		group.Go(func() {
 			alone := newTurnsFixture(t, broken, form.script).rawExchange(t, "/events/", shortTimeout)
 			then := newTurnsFixture(t, broken, form.script, streamUntil(lastEvent+1, true)).rawExchange(t, "/events-thrice/", "")
-			beside := newTurnsFixture(t, streamWithSilence(brokenEvent, lastEvent+1), form.script).rawExchange(t, "/events/", "")
+			beside := newTurnsFixture(t, silentForAWhile, form.script).rawExchange(t, "/events/", "")
 			texts[i] = fmt.Sprintf("The next server answers with %s.\n  no other: %s\n  then a sound one: %s\n  the first one goes on later: %s\n", form.name, alone, then, beside)
 		})
 	}
--- a/lib/gateways/resumption.go
+++ b/lib/gateways/resumption.go
@@ -6,7 +6,6 @@
 
 import (
 	"errors"
-	"mime"
 	"net/http"
 	"strconv"
 )
@@ -21,8 +20,6 @@
 	errNoEvents = errors.New("stream without events and without a sure end")
 )
 
-const eventStreamType = "text/event-stream"
-
 // checkContinuation returns an error if another server began the stream and not all of the
 // events follow the last one that the caller has.
 func (request *request) checkContinuation(attempt *attempt, events []byte) error {
@@ -55,9 +52,10 @@
 
 // mayEndStream reports whether a complete answer without events is the end of the stream.
 // One that only the end of its connection ends may have broken off after its head. A
-// resumed stream may have no events left, but then the server says that it is one.
+// resumed stream may have no events left, but then its server states the type of the answer
+// that began it.
 func (request *request) mayEndStream(response *http.Response) bool {
 	isFramed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
-	contentType, _, err := mime.ParseMediaType(response.Header.Get("Content-Type"))
-	return isFramed && (!request.streaming || err == nil && contentType == eventStreamType)
+	isSameType := response.Header.Get("Content-Type") == request.writer.Header().Get("Content-Type")
+	return isFramed && (!request.streaming || isSameType)
 }
