--- a/lib/gateways/unframed_test.go
+++ b/lib/gateways/unframed_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
+	"syscall"
 	"testing"
 
 	"github.com/smartystreets/goconvey/convey"
@@ -71,3 +73,34 @@
 		convey.So(status, convey.ShouldEqual, http.StatusBadGateway)
 	})
 }
+
+// Guards against a stream that breaks off and looks complete to a caller of HTTP/1.0, whose
+// answer has neither a length nor chunks.
+func TestBrokenStreamsDoNotLookCompleteToOldCallers(t *testing.T) {
+	const events = 4
+	read := func(t *testing.T, script script) (string, error) {
+		conn, err := net.Dial("tcp", newGatewayFixture(t, 1, newScriptedServer(t, script)).address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = conn.Close() }()
+		fmt.Fprint(conn, "POST /events-once/ HTTP/1.0\r\nHost: desk.example\r\nId: r-1\r\nKey: key\r\nContent-Length: 0\r\n\r\n")
+		text, err := io.ReadAll(conn)
+		return string(text), err
+	}
+	convey.Convey("Given a server that completes its stream, the caller gets it", t, func() {
+		text, err := read(t, streamUntil(events, true))
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(text, convey.ShouldEndWith, "\r\n\r\n"+completeStream(events))
+	})
+	for name, broken := range map[string]script{
+		"breaks off in chunks": streamUntil(events, false),
+		"is reset":             unframedStream(true, events, ""),
+		"ends inside an event": unframedStream(false, events, event(events)[:4]),
+	} {
+		convey.Convey("Given a stream that "+name+", the caller's connection is reset", t, func() {
+			_, err := read(t, broken)
+			convey.So(err, convey.ShouldWrap, syscall.ECONNRESET)
+		})
+	}
+}
