Reset the connections of callers of HTTP/1.0 in one place

Two changes that were made at the same time had mended the same fault. The one stays that also holds if the process ends while a stream is open: the connection is set to be reset while it is.

--- a/lib/gateways/error_responses.go
+++ b/lib/gateways/error_responses.go
@@ -38,7 +38,6 @@
 	if request.streaming {
 		request.gateway.metrics.countCutStream()
 		request.recordOwnEnd(0, reason, zap.Duration("silent_for", request.silentFor(time.Now())))
-		request.resetOldCaller()
 		panic(http.ErrAbortHandler)
 	}
 	if request.errorAnswer != nil {
@@ -52,17 +51,6 @@
 	request.respond(status, reason, 0)
 }
 
-// resetOldCaller makes the close of the connection of a caller of HTTP/1.0 a reset. To such
-// a caller, the end of its connection is otherwise the end of a complete stream.
-func (request *request) resetOldCaller() {
-	if request.received.ProtoAtLeast(1, 1) {
-		return
-	}
-	if conn, found := request.received.Context().Value(callerConnKey{}).(*callerConn); found {
-		_ = conn.SetLinger(0) // Fails only on a closed connection.
-	}
-}
-
 func (request *request) respond(status int, reason reason, retryAfter time.Duration) {
 	header := request.writer.Header()
 	header.Set("Content-Type", "text/plain")
