Look at a silent server again whose answer was kept when its version was due

The timer of a waiting request had fired when a part of the answer was handled in place of the end of the attempt, and nothing set it again. If the server then fell silent before its first event, no other one took over.

Change: the timer is set again.

--- a/lib/gateways/takeover.go
+++ b/lib/gateways/takeover.go
@@ -164,7 +164,11 @@
 // is due to be replaced.
 func (relay *relay) onTimer(ctx context.Context) attemptResult {
 	if due, isDue := relay.dueAttempt(); isDue {
-		return relay.handle(ctx, due, due.partOr(answerEnd{err: errVersionDue}))
+		outcome := relay.handle(ctx, due, due.partOr(answerEnd{err: errVersionDue}))
+		if outcome == nil {
+			relay.resetTimer()
+		}
+		return outcome
 	}
 	first := relay.open[0]
 	if first.silentAt.IsZero() || time.Now().Before(first.silentAt) {
