--- a/lib/platform/watcher.go
+++ b/lib/platform/watcher.go
@@ -21,7 +21,7 @@
 	// lost. It spreads the processes that are told so at the same time.
 	maxHistoryPause = 100 * time.Millisecond
 	// immediateAnswerTime is how long a poll takes at the most that the store answered at
-	// once, besides the time for large rows. A longer one has waited for the change.
+	// once, besides the time for large rows and for the pause before the poll.
 	immediateAnswerTime   = 250 * time.Millisecond
 	millisecondsPerSecond = 1000
 )
@@ -233,14 +233,15 @@
 
 // unreadSince returns from when on the changes of an answer may have been made. The store
 // answers a poll as soon as there is a change, so one that was answered at once tells of a
-// change during the pause before it. Only the intended pauses count: after a long stop of
-// the process, nothing says that a change is as old as the stop.
+// change during the pause before it. One that took no longer than that pause may have been
+// answered at once as well, over a busy link. Only the intended pauses count: after a long
+// stop of the process, nothing says that a change is as old as the stop.
 func (state *watcherState) unreadSince(answered call, now time.Time) time.Time {
+	paused := max(state.resumeAt.Sub(state.answeredAt), 0)
 	switch {
 	case state.isFailing() || !state.hasRows():
 		return time.Time{}
-	case answered.isSnapshot || now.Sub(answered.startedAt) <= immediateAnswerTime+state.transferTime(answered):
-		paused := max(state.resumeAt.Sub(state.answeredAt), 0)
+	case answered.isSnapshot || now.Sub(answered.startedAt) <= immediateAnswerTime+state.transferTime(answered)+paused:
 		return waits.Later(state.answeredAt, answered.startedAt.Add(-paused))
 	default:
 		return now
