Keep requests with home regions in their regions

Cause: a route or an organisation may be bound by law to some regions, and entries placed its requests at any server of the service.

Change: lib/regions holds sets of regions. The configuration's field allowedRegions of routes and tenants becomes the home regions of a request (the intersection of both). Placements exclude servers in other regions and in data centres of no known region; right before a request is sent, it is checked again against the newest configuration, so that waits, retries, takeovers, resumed streams and probes keep to it as well. A request that no server may receive is refused at once with the reason "no server in an allowed region" and the count "forbidden". Waiting requests for a full region no longer hold up those for another one.

Result: a rapid state machine over the dispatcher and one over failing servers find no request in another region. Tests of regions, routes, placements, gateways, timelines and processes pass.

--- a/lib/gateways/admission_queue.go
+++ b/lib/gateways/admission_queue.go
@@ -193,12 +193,21 @@
 		queue.waits[decision.Number] = wait
 		return nil, wait, decision.Number, nil
 	case placements.Refused:
-		return nil, nil, 0, &refusal{Refused: decision, reason: reasonQueueTooLong}
+		return nil, nil, 0, &refusal{Refused: decision, reason: refusalReason(decision, reasonQueueTooLong)}
 	default:
 		panic(fmt.Sprintf("unknown decision %T", decision))
 	}
 }
 
+// refusalReason returns the reason of a refusal, which is otherwise if the refusal states
+// no cause of its own.
+func refusalReason(refused placements.Refused, otherwise reason) reason {
+	if refused.Cause == placements.NoAllowedServer {
+		return reasonNoAllowedServer
+	}
+	return otherwise
+}
+
 // result returns the end of a wait as acquire does.
 func (end waitEnd) result() (*placements.Reservation, error) {
 	if end.refusal != nil {
@@ -217,7 +226,8 @@
 	case end := <-wait:
 		return end.result()
 	default:
-		return nil, &refusal{Refused: queue.dispatcher.Refuse(waiter, number, time.Now()), reason: reasonNoPlaceInTime}
+		refused := queue.dispatcher.Refuse(waiter, number, time.Now())
+		return nil, &refusal{Refused: refused, reason: refusalReason(refused, reasonNoPlaceInTime)}
 	}
 }
 
--- a/lib/gateways/gateway.go
+++ b/lib/gateways/gateway.go
@@ -11,7 +11,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -246,8 +245,7 @@
 		request.refuse(reasonStopping, stoppingRetryAfter)
 		return
 	}
-	path, _, _ := strings.Cut(request.received.RequestURI, "?")
-	match, err := table.Match(request.received.Host, path, request.info.APIKey)
+	match, err := request.matchIn(table)
 	if err != nil {
 		request.answerRoutingError(err)
 		return
@@ -321,7 +319,7 @@
 	startBy, late := request.placementDeadline()
 	requirements := placements.Requirements{
 		Service: request.service, Model: request.info.Model, Tried: request.triedServers, Tokens: request.info.PromptTokens,
-		FirstEventBy: request.firstArrivedAt.Add(request.target()), Late: late,
+		FirstEventBy: request.firstArrivedAt.Add(request.target()), Late: late, Regions: request.homeRegions(),
 	}
 	if request.streaming {
 		requirements.FirstEventBy = startBy
--- a/lib/gateways/reasons_test.go
+++ b/lib/gateways/reasons_test.go
@@ -19,6 +19,7 @@
 
 	"firford/lib/placements"
 	"firford/lib/quarantines"
+	"firford/lib/regions"
 	"firford/lib/routes"
 )
 
@@ -65,6 +66,9 @@
 		record(fixture, func() { fixture.post(t, "/once/", "", "Key", "stranger") })
 		record(fixture, func() { fixture.post(t, "/once/", strings.Repeat("x", 2000)) })
 		record(fixture, func() { endAtDeadline(fixture) })
+		limited, limit := newRegionalFixture(t, nil, []*scriptedServer{newScriptedServer(t, refusing)})
+		limit(regions.Only("north"))
+		record(limited, func() { limited.post(t, "/once/", "") })
 		record(fixture, func() { disconnectDuringRequest(t, fixture, "/once/", 100) })
 		fixture = newGatewayFixture(t, 1, newScriptedServer(t, refusing))
 		record(fixture, func() { fixture.post(t, "/once/", "") })
--- a/lib/gateways/statements.go
+++ b/lib/gateways/statements.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"firford/lib/placements"
+	"firford/lib/regions"
 )
 
 const (
@@ -55,11 +56,13 @@
 // The server may have stated that in another answer, while the request got its
 // reservation or its connection was opened.
 func (request *request) withdrawal(reservation *placements.Reservation) (withdrawn, bool) {
-	switch permission := request.gateway.Queue.permissionToSend(reservation).(type) {
+	switch permission := request.gateway.Queue.permissionToSend(reservation, request.homeRegions()).(type) {
 	case placements.MaySendAfterRestart:
 		return withdrawn{cause: "leaving", heardAt: permission.HeardAt}, true
 	case placements.MaySendFrom:
 		return withdrawn{cause: "not_before", heardAt: permission.HeardAt}, true
+	case placements.MayNotSend:
+		return withdrawn{cause: forbiddenCause(permission.Cause)}, true
 	default:
 		return withdrawn{}, false
 	}
@@ -113,11 +116,11 @@
 }
 
 // permissionToSend returns whether the request may be sent to the server for which the
-// reservation was made.
-func (queue *AdmissionQueue) permissionToSend(reservation *placements.Reservation) placements.Permission {
+// reservation was made, given the home regions that apply to it now.
+func (queue *AdmissionQueue) permissionToSend(reservation *placements.Reservation, allowed regions.Set) placements.Permission {
 	queue.mutex.Lock()
 	defer queue.mutex.Unlock()
-	return queue.dispatcher.PermissionToSend(reservation, time.Now())
+	return queue.dispatcher.PermissionToSend(reservation, allowed, time.Now())
 }
 
 // retryAfter returns after which time a caller should retry whose request the servers
--- a/lib/placements/candidates.go
+++ b/lib/placements/candidates.go
@@ -2,6 +2,7 @@
 
 // This file finds out why a server is not a candidate for a request. A refusal logs
 // the counts, so that its cause can be read from the log alone: servers that are
+// in other regions than the request's, that are
 // unavailable, that leave, that asked for no requests for a time, that serve an old
 // version, that are full, that have stated a limit, or that would answer too late.
 
@@ -14,15 +15,17 @@
 	// CandidateCounts counts the servers of a service by what excludes them for a
 	// request. Usable servers could have taken it.
 	CandidateCounts struct {
-		Usable   int
-		Leaving  int
-		Deferred int
-		Closed   int
-		Tried    int
-		Outdated int
-		Full     int
-		Limited  int
-		Slow     int
+		Usable int
+		// Forbidden servers are not in a region in which the request may be served.
+		Forbidden int
+		Leaving   int
+		Deferred  int
+		Closed    int
+		Tried     int
+		Outdated  int
+		Full      int
+		Limited   int
+		Slow      int
 	}
 
 	// exclusion is the reason why a server is not a candidate for a request.
@@ -31,6 +34,8 @@
 
 const (
 	eligible exclusion = iota
+	// forbidden means that the server is not in an allowed region.
+	forbidden
 	// leaving means that the server leaves, by its own statement or by the platform's list.
 	leaving
 	// unavailable means that the server is closed or failing, or rejected a request just
@@ -59,6 +64,8 @@
 		switch exclusion {
 		case eligible:
 			counts.Usable++
+		case forbidden:
+			counts.Forbidden++
 		case leaving:
 			counts.Leaving++
 		case deferred:
@@ -82,7 +89,7 @@
 
 // Servers returns the total number of servers.
 func (counts CandidateCounts) Servers() int {
-	return counts.Usable + counts.Leaving + counts.Deferred + counts.Closed + counts.Tried + counts.Outdated + counts.Full + counts.Limited + counts.Slow
+	return counts.Usable + counts.Forbidden + counts.Leaving + counts.Deferred + counts.Closed + counts.Tried + counts.Outdated + counts.Full + counts.Limited + counts.Slow
 }
 
 // IsStalled reports whether there are servers, but none can take requests at all, rather
@@ -96,14 +103,18 @@
 	return counts.Closed+counts.Outdated > 0 || counts.Leaving > 0 && counts.Deferred == 0
 }
 
-// IsExhausted reports whether the request was already sent to all servers.
+// IsExhausted reports whether the request was already sent to all servers that it may be
+// sent to.
 func (counts CandidateCounts) IsExhausted() bool {
-	return counts.Tried > 0 && counts.Tried == counts.Servers()
+	return counts.Tried > 0 && counts.Tried+counts.Forbidden == counts.Servers()
 }
 
 // exclusion returns what excludes the server for the request, and the predicted time
 // to its first event, zero for plain services.
 func (fleet *Fleet) exclusion(state ServerState, requirements Requirements, overcommit int, now time.Time) (exclusion, time.Duration) {
+	if !fleet.isAllowed(state.Server, requirements.Regions) {
+		return forbidden, 0
+	}
 	isTried := slices.Contains(requirements.Tried, state.Server.ID)
 	stated := fleet.statedExclusion(state, now)
 	switch {
--- a/lib/placements/dispatcher.go
+++ b/lib/placements/dispatcher.go
@@ -5,7 +5,11 @@
 // pass in the current time and act on the decision. The gateway drives it with the
 // wall clock, the bench's emulator with simulated time.
 
-import "time"
+import (
+	"time"
+
+	"firford/lib/regions"
+)
 
 const (
 	// engineOvercommit is the number of requests beyond its slots that an engine is
@@ -22,8 +26,8 @@
 	// maxStalledQueue is the number of requests that wait for servers none of which can
 	// take requests. The servers begin about as many for one entry as soon as they can.
 	maxStalledQueue = 64
-	// maxPlacementFailures is the number of waiters without a server after which one
-	// dispatch pass ends. Each report of an engine triggers a pass, and during overload
+	// maxPlacementFailures is the number of waiters with the same home regions without a
+	// server after which one dispatch pass ends for them. Each report of an engine triggers a pass, and during overload
 	// an entry with 0.3 cores would spend most of its time comparing some dozen waiters
 	// with all engines.
 	maxPlacementFailures = 8
@@ -66,14 +70,18 @@
 
 	// Refused requests may be retried after RetryAfter. Ahead is the number of requests
 	// queued before it, Wait is how long it would have waited in the queue, and
-	// Candidates counts what excluded each server.
+	// Candidates counts what excluded each server. Cause is why it was refused.
 	Refused struct {
 		RetryAfter time.Duration
 		Ahead      int
 		Wait       time.Duration
 		Candidates CandidateCounts
+		Cause      RefusalCause
 	}
 
+	// RefusalCause is why a request was refused.
+	RefusalCause int
+
 	// Grant is a reservation for a waiter.
 	Grant struct {
 		Number      uint64
@@ -94,6 +102,14 @@
 	}
 )
 
+const (
+	// NoRoomInTime means that no server would have had room in time.
+	NoRoomInTime RefusalCause = iota
+	// NoAllowedServer means that no server is in a region in which the request may be
+	// served.
+	NoAllowedServer
+)
+
 func (Placed) isDecision()  {}
 func (Queued) isDecision()  {}
 func (Refused) isDecision() {}
@@ -112,6 +128,9 @@
 
 // Admit places the request at once, queues it or refuses it.
 func (dispatcher *Dispatcher) Admit(waiter Waiter, now time.Time) Decision {
+	if refused, isOutOfReach := dispatcher.refuseOutOfReach(waiter.Requirements, now); isOutOfReach {
+		return refused
+	}
 	service := waiter.Requirements.Service
 	ahead := dispatcher.queues[service].CountAhead(waiter)
 	if ahead == 0 {
@@ -180,9 +199,10 @@
 // when an overload of a few seconds has passed. The times are spread, so that
 // callers that were refused together do not retry together.
 func (dispatcher *Dispatcher) newRefusal(requirements Requirements, ahead int, wait time.Duration, now time.Time) Refused {
+	candidates := dispatcher.fleet.CountCandidates(requirements, overcommit(requirements), now)
 	return Refused{
 		RetryAfter: dispatcher.spread(max(minRetryAfter, wait)), Ahead: ahead, Wait: wait,
-		Candidates: dispatcher.fleet.CountCandidates(requirements, overcommit(requirements), now),
+		Candidates: candidates, Cause: candidates.refusalCause(requirements),
 	}
 }
 
@@ -237,7 +257,8 @@
 }
 
 // Dispatch reserves servers for the requests queued for the service, in queue order.
-// It stops once maxPlacementFailures requests have found no server.
+// It passes over requests with the same home regions once maxPlacementFailures of them
+// have found no server: a full region must not hold up the requests of another one.
 func (dispatcher *Dispatcher) Dispatch(service string, now time.Time) []Grant {
 	waiters := dispatcher.queues[service].Waiters()
 	if len(waiters) == 0 {
@@ -248,14 +269,15 @@
 		return nil
 	}
 	var grants []Grant
-	failures := 0
+	failures := map[string]int{}
 	for _, waiter := range waiters {
+		kind := waiter.Requirements.Regions.String()
+		if failures[kind] == maxPlacementFailures {
+			continue
+		}
 		reservation := dispatcher.reserveAmong(withRoom, waiter.Requirements, now)
 		if reservation == nil {
-			failures++
-			if failures == maxPlacementFailures {
-				break
-			}
+			failures[kind]++
 			continue
 		}
 		dispatcher.Remove(service, waiter.Number)
@@ -309,8 +331,11 @@
 }
 
 // PermissionToSend returns whether the request may still be sent to the server for which
-// the reservation was made.
-func (dispatcher *Dispatcher) PermissionToSend(reservation *Reservation, now time.Time) Permission {
+// the reservation was made, given the home regions that apply to it now.
+func (dispatcher *Dispatcher) PermissionToSend(reservation *Reservation, allowed regions.Set, now time.Time) Permission {
+	if permission, isForbidden := dispatcher.fleet.placePermission(reservation.Server, allowed).(MayNotSend); isForbidden {
+		return permission
+	}
 	return dispatcher.fleet.PermissionToSend(reservation.Server.ID, now)
 }
 
--- a/lib/placements/fleet.go
+++ b/lib/placements/fleet.go
@@ -11,6 +11,8 @@
 import (
 	"slices"
 	"time"
+
+	"firford/lib/regions"
 )
 
 const (
@@ -46,7 +48,8 @@
 	// Requirements describe what a request needs of a server. Tried lists the servers
 	// that the request was already sent to. Tokens is the length of its prompt.
 	// FirstEventBy is the deadline of its first event; Late is set if that can no longer
-	// be met. Resumed is set for a stream of which the caller already has events.
+	// be met. Resumed is set for a stream of which the caller already has events. Regions
+	// are those in which the request may be served.
 	Requirements struct {
 		Service      string
 		Model        string
@@ -54,6 +57,7 @@
 		FirstEventBy time.Time
 		Late         bool
 		Resumed      bool
+		Regions      regions.Set
 		Tried        []string
 	}
 
@@ -88,8 +92,10 @@
 	// concurrent use.
 	Fleet struct {
 		dataCentre string
-		profiles   map[string]EngineProfile
-		targets    VersionTargets
+		// regions maps data centres to their regions.
+		regions  map[string]string
+		profiles map[string]EngineProfile
+		targets  VersionTargets
 		// predictionErrors holds, by service, the smoothed time by which first events came
 		// later than predicted.
 		predictionErrors map[string]time.Duration
--- a/lib/placements/queue.go
+++ b/lib/placements/queue.go
@@ -73,11 +73,12 @@
 // Waiters returns the waiters in order. The slice must not be changed.
 func (queue Queue) Waiters() []Waiter { return queue.waiters }
 
-// CountAhead counts the waiters that come before a new one.
+// CountAhead counts the waiters that come before a new one and may use all servers that
+// it may use. Others, which wait for a region of their own, don't hold it up.
 func (queue Queue) CountAhead(waiter Waiter) int {
 	count := 0
 	for _, other := range queue.waiters {
-		if !waiter.precedes(other) {
+		if !waiter.precedes(other) && other.Requirements.Regions.Covers(waiter.Requirements.Regions) {
 			count++
 		}
 	}
--- a/lib/processes/routed.go
+++ b/lib/processes/routed.go
@@ -130,7 +130,7 @@
 			process.AddFinding("regions", "not a pair", pair, "data_centre:region, separated by commas")
 			continue
 		}
-		regions[dataCentre] = region
+		regions[strings.TrimSpace(dataCentre)] = strings.TrimSpace(region)
 	}
 	return regions
 }
--- a/lib/routes/routes.go
+++ b/lib/routes/routes.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"firford/lib/regions"
 )
 
 // The retry modes of a route.
@@ -43,7 +45,8 @@
 
 	// Route sends the requests for a host and a path prefix to services. The operator
 	// sets its times: Timeout and FirstEventTarget count from the arrival of a request,
-	// and EventGap is the longest pause between two events that is still on time.
+	// and EventGap is the longest pause between two events that is still on time. Regions
+	// are its home regions.
 	Route struct {
 		Name             string
 		Host             string
@@ -56,6 +59,7 @@
 		Timeout          time.Duration
 		FirstEventTarget time.Duration
 		EventGap         time.Duration
+		Regions          regions.Set
 		Shares           []Share
 	}
 
@@ -94,10 +98,11 @@
 		Models          []string      `json:"models"`
 	}
 
-	// Organisation is a group of callers that share keys.
+	// Organisation is a group of callers that share keys. Regions are its home regions.
 	Organisation struct {
 		Name     string
 		Priority int
+		Regions  regions.Set
 	}
 
 	// Limits bound what a caller may send.
@@ -258,6 +263,12 @@
 	return match.Route.Priority
 }
 
+// Regions returns the home regions of the request: those that both its route and its
+// organisation allow.
+func (match Match) Regions() regions.Set {
+	return match.Route.Regions.Intersect(match.Organisation.Regions)
+}
+
 // PickService picks a service by the weights of the route. Chance is between 0
 // (included) and 1 (excluded).
 func (route Route) PickService(chance float64) string {
--- a/lib/timelines/causes.go
+++ b/lib/timelines/causes.go
@@ -203,6 +203,7 @@
 	"no configuration yet":            "the entry had read no configuration yet",
 	"too many wait":                   "refused on arrival: its turn would have come too late",
 	"no place in time":                "refused after waiting: no server had room in time",
+	"no server in an allowed region":  "refused at once: no server of the service is in a home region of the request",
 	"no place before the deadline":    "refused at its deadline: no server had room",
 	"turned away":                     "refused: the servers that it was sent to did not run it, and no more may be tried",
 	"no server reached":               "refused: no connection to a server came about",
@@ -224,7 +225,7 @@
 		return "unknown reason: " + reason
 	}
 	switch reason {
-	case "too many wait", "no place in time", "no server left":
+	case "too many wait", "no place in time", "no server left", "no server in an allowed region":
 		if line.Fields["ahead"] != "" {
 			text += "; " + explainNoServer(line, others)
 		}
@@ -261,6 +262,7 @@
 		{"slow", "with too much to read before it"},
 		{"closed", "closed or changing version"},
 		{"leaving", "leaving"},
+		{"forbidden", "not in a home region"},
 		{"deferred", "that had asked for no requests for a time"},
 		{"outdated", "on a version that is due"},
 		{"tried", "already tried"},
