--- a/lib/placements/dispatcher.go
+++ b/lib/placements/dispatcher.go
@@ -6,8 +6,10 @@
 // wall clock, the bench's emulator with simulated time.
 
 import (
+	"slices"
 	"time"
 
+	"firford/lib/demands"
 	"firford/lib/regions"
 )
 
@@ -26,10 +28,10 @@
 	// maxStalledQueue is the number of requests that wait for servers none of which can
 	// take requests. The servers begin about as many for one entry as soon as they can.
 	maxStalledQueue = 64
-	// maxPlacementFailures is the number of waiters with the same home regions without a
-	// server after which one dispatch pass ends for them. Each report of an engine triggers a pass, and during overload
-	// an entry with 0.3 cores would spend most of its time comparing some dozen waiters
-	// with all engines.
+	// maxPlacementFailures is the number of waiters of one group without a server after
+	// which one dispatch pass ends for the group. Each report of an engine triggers a pass,
+	// and during overload an entry with 0.3 cores would spend most of its time comparing
+	// some dozen waiters with all engines.
 	maxPlacementFailures = 8
 )
 
@@ -42,6 +44,7 @@
 		queues       map[string]Queue
 		startRates   map[string]StartRate
 		retryBudgets map[string]RetryBudget
+		demands      map[string]demands.Demand
 		lastNumber   uint64
 	}
 
@@ -94,6 +97,12 @@
 		Refused Refused
 	}
 
+	// waiterGroup is a group of waiting requests that find servers, or none, alike.
+	waiterGroup struct {
+		regions string
+		yields  bool
+	}
+
 	// ServiceStatus describes a service from the point of view of a plain request.
 	ServiceStatus struct {
 		Candidates  CandidateCounts
@@ -120,6 +129,7 @@
 	return &Dispatcher{
 		fleet: fleet, random: random,
 		queues: map[string]Queue{}, startRates: map[string]StartRate{}, retryBudgets: map[string]RetryBudget{},
+		demands: map[string]demands.Demand{},
 	}
 }
 
@@ -133,7 +143,7 @@
 	}
 	service := waiter.Requirements.Service
 	ahead := dispatcher.queues[service].CountAhead(waiter)
-	if ahead == 0 {
+	if !dispatcher.isBlocked(waiter, ahead) {
 		if reservation := dispatcher.reserve(waiter.Requirements, now); reservation != nil {
 			return Placed{Reservation: reservation}
 		}
@@ -148,6 +158,19 @@
 	return Queued{Number: waiter.Number}
 }
 
+// isBlocked reports whether a request ahead of this one has to be placed before it. Those
+// for which the engines have no room while they are reserved for requests like this one do
+// not block it.
+func (dispatcher *Dispatcher) isBlocked(waiter Waiter, ahead int) bool {
+	service := waiter.Requirements.Service
+	if ahead == 0 || !dispatcher.fleet.hasRanks(service) {
+		return ahead > 0
+	}
+	return slices.ContainsFunc(dispatcher.queues[service].Waiters(), func(other Waiter) bool {
+		return !waiter.precedes(other) && !dispatcher.fleet.isReservedFor(waiter.Requirements.Kind, other.Requirements)
+	})
+}
+
 // isExhausted reports whether the request was already sent to all servers, so that no
 // wait helps it.
 func (dispatcher *Dispatcher) isExhausted(requirements Requirements, now time.Time) bool {
@@ -257,8 +280,9 @@
 }
 
 // Dispatch reserves servers for the requests queued for the service, in queue order.
-// It passes over requests with the same home regions once maxPlacementFailures of them
-// have found no server: a full region must not hold up the requests of another one.
+// It passes over requests of one group once maxPlacementFailures of them have found no
+// server: a full region must not hold up the requests of another one, and those that yield
+// to stricter targets must not hold up the ones with such a target.
 func (dispatcher *Dispatcher) Dispatch(service string, now time.Time) []Grant {
 	waiters := dispatcher.queues[service].Waiters()
 	if len(waiters) == 0 {
@@ -269,15 +293,15 @@
 		return nil
 	}
 	var grants []Grant
-	failures := map[string]int{}
+	failures := map[waiterGroup]int{}
 	for _, waiter := range waiters {
-		kind := waiter.Requirements.Regions.String()
-		if failures[kind] == maxPlacementFailures {
+		group := waiterGroup{regions: waiter.Requirements.Regions.String(), yields: dispatcher.fleet.yields(waiter.Requirements)}
+		if failures[group] == maxPlacementFailures {
 			continue
 		}
 		reservation := dispatcher.reserveAmong(withRoom, waiter.Requirements, now)
 		if reservation == nil {
-			failures[kind]++
+			failures[group]++
 			continue
 		}
 		dispatcher.Remove(service, waiter.Number)
@@ -347,8 +371,11 @@
 	}
 }
 
-// CountRequest adds a request of a caller to the retry budget of its service.
-func (dispatcher *Dispatcher) CountRequest(service string, now time.Time) {
+// CountRequest adds a request of a caller to the demand for its service and to the
+// service's retry budget.
+func (dispatcher *Dispatcher) CountRequest(service string, request demands.Request, now time.Time) {
+	dispatcher.demands[service] = dispatcher.demands[service].WithArrival(request, now)
+	dispatcher.fleet.SetTypicalRequests(service, dispatcher.demands[service].Typical(now))
 	dispatcher.retryBudgets[service] = dispatcher.retryBudgets[service].WithRequest(now)
 }
 
