Evacuate a data centre on the operator's row

Cause: an operator who empties a data centre had no way to keep requests away from it, other than to drain each server.

The follower of the operator's table reads the rows evacuate/DATA_CENTRE; only the key counts. Placements exclude the servers there, withdraw reservations right before sending, and refuse waiting requests at once if no server is left. Entries tell the state to the agents in exchanges of statements, and at once to 64 of them upon a change; agents answer entries that ask and know less.

--- a/cmd/agent/routed/routed.go
+++ b/cmd/agent/routed/routed.go
@@ -252,7 +252,7 @@
 	now := time.Now()
 	agent.announcedAt.Store(&now)
 	needsServices := agent.follower.ApplyAnnouncement(announcement, now)
-	return loads.AnnouncementReply{NeedsServices: needsServices, Ages: agent.follower.UnknownAges(announcement, now)}
+	return loads.AnnouncementReply{NeedsServices: needsServices, Ages: agent.follower.UnknownAges(announcement, now), Evacuations: agent.follower.UnknownEvacuations(announcement, now)}
 }
 
 // versionPollPause returns the pause between two reads of the announced versions.
--- a/cmd/bench/hearing/fleet.go
+++ b/cmd/bench/hearing/fleet.go
@@ -64,6 +64,12 @@
 // ApplyAges ignores what agents know, as nothing is announced meanwhile.
 func (announcements) ApplyAges(directives.VersionAges, time.Time) {}
 
+// EvacuationNews returns nothing, as no data centre is evacuated.
+func (announcements) EvacuationNews(time.Time) *directives.EvacuationState { return nil }
+
+// ApplyEvacuations ignores what agents know, as no data centre is evacuated.
+func (announcements) ApplyEvacuations(*directives.EvacuationState, time.Time) {}
+
 // OwnLimits returns no limits, as none is measured.
 func (*entry) OwnLimits() map[string]placements.LimitStatement { return nil }
 
--- a/cmd/entry/routed/routed.go
+++ b/cmd/entry/routed/routed.go
@@ -391,7 +391,7 @@
 		MaxTransferPause: entry.settings.ConfigurationTime / transferPauseShare,
 		RestorePause:     storeRestorePause, Reachability: entry.reachability,
 		VersionTimeout: entry.settings.VersionTimeout - versionMargin, EarlierVersionTimeout: earlierVersionTimeout,
-		Decode: adapter.DecodeDesiredState, RoutesChanged: entry.applyRoutes, VersionAnnounced: entry.announceVersions,
+		Decode: adapter.DecodeDesiredState, RoutesChanged: entry.applyRoutes, VersionAnnounced: entry.announceVersions, EvacuationsChanged: entry.applyEvacuations,
 		Logger: entry.logger, Scope: entry.metrics.Scope,
 	})
 }
@@ -440,6 +440,7 @@
 			var changes []placements.Change
 			entry.queue.UpdateFleet(func(fleet *placements.Fleet, now time.Time) { changes = fleet.Expire(now) })
 			entry.logServerChanges(changes)
+			entry.follower.RefreshEvacuations(time.Now())
 		}
 	}
 }
--- a/lib/directives/directives.go
+++ b/lib/directives/directives.go
@@ -27,12 +27,14 @@
 	}
 
 	// DesiredState is the decoded content of the operator's table. HasConfiguration
-	// is false if the table has no configuration. DecodeErrors has an error for each
+	// is false if the table has no configuration. Evacuations are the data centres that rows
+	// ask to evacuate. DecodeErrors has an error for each
 	// row that could not be decoded.
 	DesiredState struct {
 		Configuration    routes.Configuration
 		HasConfiguration bool
 		Versions         []ModelVersion
+		Evacuations      []string
 		DecodeErrors     []error
 	}
 
@@ -43,7 +45,10 @@
 	// when a process first saw it, and EarlierVersionTimeout the longest time for a version
 	// that was announced before this process started, counted from its first view.
 	// RoutesChanged is called with each new routing table, and VersionAnnounced after newer
-	// versions or earlier times for them were recorded.
+	// versions or earlier times for them were recorded. EvacuationsChanged is called with the
+	// evacuated data centres whenever they change, the position of the store that they are
+	// known from and how this process learned of it. It is nil in a process that reads only a
+	// part of the table.
 	Dependencies struct {
 		Feed                  platform.Feed
 		Table                 string
@@ -58,6 +63,7 @@
 		Decode                func(rows map[string]platform.Row) DesiredState
 		RoutesChanged         func(table routes.Table)
 		VersionAnnounced      func()
+		EvacuationsChanged    func(dataCentres []string, position platform.Position, heardBy string)
 		Logger                *zap.Logger
 		Scope                 tally.Scope
 	}
@@ -66,8 +72,9 @@
 	// goes back to older ones. Its reads are safe for concurrent use.
 	Follower struct {
 		Dependencies
-		table   atomic.Pointer[routes.Table]
-		targets atomic.Pointer[placements.VersionTargets]
+		table       atomic.Pointer[routes.Table]
+		targets     atomic.Pointer[placements.VersionTargets]
+		evacuations atomic.Pointer[evacuationRecord]
 		// mutex serialises updates; readers only load the pointers. loaded is set after
 		// the first view of the table.
 		mutex  sync.Mutex
@@ -80,6 +87,7 @@
 	follower := &Follower{Dependencies: dependencies}
 	follower.table.Store(&routes.Table{})
 	follower.targets.Store(&placements.VersionTargets{})
+	follower.evacuations.Store(&evacuationRecord{})
 	return follower
 }
 
@@ -109,6 +117,7 @@
 		follower.applyConfiguration(desired.Configuration, view.Revision)
 	}
 	follower.recordVersions(desired.Versions, now, view.UnreadSince)
+	follower.applyEvacuationRows(desired.Evacuations, view.Position, now)
 	follower.loaded = true
 }
 
--- a/lib/directives/prefix_feed.go
+++ b/lib/directives/prefix_feed.go
@@ -21,12 +21,13 @@
 	// Announcement is what an entry sends to agents about the operator's table: the
 	// version of its configuration, a digest of the parameters of engines and
 	// origins, the newest version of each model, and for how long it has known the newest
-	// few. Services holds the parameters themselves if the agent has requested them.
+	// few. Evacuations is set for an agent that passes it on. Services holds the parameters themselves if the agent has requested them.
 	Announcement struct {
 		Configuration int64            `json:"configuration"`
 		Engines       uint64           `json:"engines"`
 		Versions      map[string]int   `json:"versions,omitempty"`
 		Ages          VersionAges      `json:"ages,omitempty"`
+		Evacuations   *EvacuationState `json:"evacuations,omitempty"`
 		Services      []routes.Service `json:"services,omitempty"`
 	}
 
@@ -135,6 +136,9 @@
 	follower.mutex.Lock()
 	defer follower.mutex.Unlock()
 	follower.applyAges(announcement.Ages, now)
+	if announcement.Evacuations != nil {
+		follower.mergeEvacuations(announcement.Evacuations.decode(now), HeardByAgent, now)
+	}
 	var versions []ModelVersion
 	for model, version := range announcement.Versions {
 		versions = append(versions, ModelVersion{Model: model, Version: version})
--- a/lib/gateways/admission_queue.go
+++ b/lib/gateways/admission_queue.go
@@ -202,10 +202,14 @@
 // refusalReason returns the reason of a refusal, which is otherwise if the refusal states
 // no cause of its own.
 func refusalReason(refused placements.Refused, otherwise reason) reason {
-	if refused.Cause == placements.NoAllowedServer {
+	switch refused.Cause {
+	case placements.NoAllowedServer:
 		return reasonNoAllowedServer
+	case placements.AllEvacuated:
+		return reasonEvacuated
+	default:
+		return otherwise
 	}
-	return otherwise
 }
 
 // result returns the end of a wait as acquire does.
--- a/lib/gateways/home_regions.go
+++ b/lib/gateways/home_regions.go
@@ -31,8 +31,12 @@
 
 // forbiddenCause returns the cause in the log of a request that must not be sent.
 func forbiddenCause(cause placements.ForbiddenCause) string {
-	if cause == placements.NotInAllowedRegion {
+	switch cause {
+	case placements.NotInAllowedRegion:
 		return "not_in_allowed_region"
+	case placements.InEvacuatedDataCentre:
+		return "evacuated"
+	default:
+		return "unknown"
 	}
-	return "unknown"
 }
--- a/lib/gateways/metrics.go
+++ b/lib/gateways/metrics.go
@@ -140,7 +140,7 @@
 	scope.Gauge("retries_left").Update(status.RetriesLeft)
 	candidates := status.Candidates
 	for state, count := range map[string]int{
-		"usable": candidates.Usable, "leaving": candidates.Leaving, "deferred": candidates.Deferred, "closed": candidates.Closed,
+		"usable": candidates.Usable, "evacuated": candidates.Evacuated, "leaving": candidates.Leaving, "deferred": candidates.Deferred, "closed": candidates.Closed,
 		"full": candidates.Full, "limited": candidates.Limited,
 	} {
 		scope.Tagged(map[string]string{"state": state}).Gauge("servers").Update(float64(count))
--- a/lib/gateways/reasons.go
+++ b/lib/gateways/reasons.go
@@ -17,6 +17,7 @@
 	reasonQueueTooLong       reason = "too many wait"
 	reasonNoPlaceInTime      reason = "no place in time"
 	reasonNoAllowedServer    reason = "no server in an allowed region"
+	reasonEvacuated          reason = "all servers evacuated"
 	reasonDeadline           reason = "no place before the deadline"
 	reasonTurnedAway         reason = "turned away"
 	reasonNotReached         reason = "no server reached"
@@ -36,6 +37,6 @@
 
 // allReasons lists all reasons for tests that require an explanation of each.
 var allReasons = []reason{
-	reasonNoConfiguration, reasonStopping, reasonQueueTooLong, reasonNoPlaceInTime, reasonNoAllowedServer, reasonDeadline, reasonTurnedAway, reasonNotReached, reasonQuarantinedPart, reasonQuarantinedRequest,
+	reasonNoConfiguration, reasonStopping, reasonQueueTooLong, reasonNoPlaceInTime, reasonNoAllowedServer, reasonEvacuated, reasonDeadline, reasonTurnedAway, reasonNotReached, reasonQuarantinedPart, reasonQuarantinedRequest,
 	reasonNoRoute, reasonUnknownKey, reasonTooLarge, reasonAnswerLost, reasonNoServerLeft, reasonRequestNotRead, reasonCallerLeft,
 }
--- a/lib/loads/listener.go
+++ b/lib/loads/listener.go
@@ -29,6 +29,10 @@
 	// silentTime is how long an agent may say nothing until the entry may have missed
 	// records of crashes, which agents repeat for longer.
 	silentTime = 2 * time.Second
+	// notifiedAgents is how many agents an entry tells of a change of evacuations at once.
+	// The others hear of it in the next exchanges, from any entry. At 350 entries and 940
+	// engines each agent gets 24 such datagrams of about 100 bytes.
+	notifiedAgents = 64
 )
 
 type (
@@ -39,6 +43,8 @@
 		Announcement(now time.Time) directives.Announcement
 		FullAnnouncement(now time.Time) directives.Announcement
 		ApplyAges(ages directives.VersionAges, now time.Time)
+		EvacuationNews(now time.Time) *directives.EvacuationState
+		ApplyEvacuations(told *directives.EvacuationState, now time.Time)
 	}
 
 	// StatementSource provides what servers stated to this entry about themselves: their
@@ -86,6 +92,9 @@
 	if incoming.Crashes != nil {
 		listener.crashes.Hear(decodeCrashes(incoming.Crashes, time.Now()))
 	}
+	if incoming.Evacuations != nil {
+		listener.source.ApplyEvacuations(incoming.Evacuations, time.Now())
+	}
 	listener.recordHeard(from)
 	if incoming.NeedsServices {
 		full := listener.source.FullAnnouncement(time.Now())
@@ -163,6 +172,15 @@
 	}
 }
 
+// NotifyEvacuations tells some agents, chosen at random, of a change of the evacuations.
+func (listener *Listener) NotifyEvacuations() {
+	announcement := directives.Announcement{Evacuations: listener.source.EvacuationNews(time.Now())}
+	agents := listener.agents()
+	for _, i := range rand.Perm(len(agents))[:min(notifiedAgents, len(agents))] {
+		send(listener.conn, agents[i], message{Announcement: &announcement}, listener.logger)
+	}
+}
+
 // isExchangeDue reports whether statements are exchanged now with the agent that has this
 // place among count agents.
 func (listener *Listener) isExchangeDue(place, count int) bool {
@@ -195,6 +213,9 @@
 	now := time.Now()
 	announcement := listener.source.Announcement(now)
 	subscription := message{Subscribe: true, Announcement: &announcement, NeedsCrashes: listener.isSilent(agent, now), NeedsStatements: isExchange}
+	if subscription.NeedsCrashes || isExchange {
+		announcement.Evacuations = listener.source.EvacuationNews(now)
+	}
 	if isExchange {
 		subscription.Limits = encodeLimits(listener.statements.OwnLimits(), now)
 		subscription.Leaving = encodeLeaving(listener.statements.OwnLeaving(), now)
--- a/lib/loads/loads.go
+++ b/lib/loads/loads.go
@@ -37,20 +37,21 @@
 	// requests all current statements and crashes, and NeedsCrashes, which requests the
 	// crashes for which traits are quarantined. Agents set Report, Crashes where
 	// they are requested, NeedsServices, which requests an announcement with the
-	// parameters of the engines and origins, and Ages, which are those of versions that the
-	// entry's announcement lacked.
+	// parameters of the engines and origins, and Ages and Evacuations, which are what the
+	// entry's announcement lacked of versions and evacuations.
 	message struct {
-		Subscribe       bool                     `json:"subscribe,omitempty"`
-		Announcement    *directives.Announcement `json:"news,omitempty"`
-		NeedsServices   bool                     `json:"ask,omitempty"`
-		Ages            directives.VersionAges   `json:"ages,omitempty"`
-		Request         *request                 `json:"request,omitempty"`
-		Limits          map[string]limit         `json:"limits,omitempty"`
-		Crashes         *crashes                 `json:"crashes,omitempty"`
-		NeedsCrashes    bool                     `json:"ask_crashes,omitempty"`
-		NeedsStatements bool                     `json:"ask_statements,omitempty"`
-		Leaving         map[string]leaving       `json:"leaving,omitempty"`
-		Report          *report                  `json:"report,omitempty"`
+		Subscribe       bool                        `json:"subscribe,omitempty"`
+		Announcement    *directives.Announcement    `json:"news,omitempty"`
+		NeedsServices   bool                        `json:"ask,omitempty"`
+		Ages            directives.VersionAges      `json:"ages,omitempty"`
+		Evacuations     *directives.EvacuationState `json:"evacuations,omitempty"`
+		Request         *request                    `json:"request,omitempty"`
+		Limits          map[string]limit            `json:"limits,omitempty"`
+		Crashes         *crashes                    `json:"crashes,omitempty"`
+		NeedsCrashes    bool                        `json:"ask_crashes,omitempty"`
+		NeedsStatements bool                        `json:"ask_statements,omitempty"`
+		Leaving         map[string]leaving          `json:"leaving,omitempty"`
+		Report          *report                     `json:"report,omitempty"`
 	}
 
 	// request reports the progress of a request of an entry. Tokens is zero once its
--- a/lib/loads/loads_test.go
+++ b/lib/loads/loads_test.go
@@ -42,6 +42,10 @@
 
 func (announcementSource) ApplyAges(directives.VersionAges, time.Time) {}
 
+func (announcementSource) EvacuationNews(time.Time) *directives.EvacuationState { return nil }
+
+func (announcementSource) ApplyEvacuations(*directives.EvacuationState, time.Time) {}
+
 // noLimits is an entry to which no server has stated anything.
 type noLimits struct{}
 
--- a/lib/loads/reporter.go
+++ b/lib/loads/reporter.go
@@ -48,11 +48,13 @@
 	}
 
 	// AnnouncementReply is what an agent answers to the announcement of an entry: whether it
-	// needs the parameters of the engines and origins, and the ages of versions that the
-	// entry lacks. The ages are only sent to an entry that asks for what the agent knows.
+	// needs the parameters of the engines and origins, and the ages of versions and the
+	// evacuations that the entry lacks. These are only sent to an entry that asks for what the
+	// agent knows.
 	AnnouncementReply struct {
 		NeedsServices bool
 		Ages          directives.VersionAges
+		Evacuations   *directives.EvacuationState
 	}
 
 	// Reporter sends the reports of an agent. It is safe for concurrent use.
@@ -110,13 +112,13 @@
 }
 
 // reply answers the announcement of an entry if there is something to say. Over a slow link
-// each announcement seems to lack something, so ages go only to entries that ask.
+// each announcement seems to lack something, so ages and evacuations go only to entries that ask.
 func (reporter *Reporter) reply(to netip.AddrPort, incoming message, reply AnnouncementReply) {
 	if !incoming.NeedsStatements && !incoming.NeedsCrashes {
-		reply.Ages = nil
+		reply.Ages, reply.Evacuations = nil, nil
 	}
-	if reply.NeedsServices || len(reply.Ages) > 0 {
-		send(reporter.conn, to, message{NeedsServices: reply.NeedsServices, Ages: reply.Ages}, reporter.logger)
+	if reply.NeedsServices || len(reply.Ages) > 0 || reply.Evacuations != nil {
+		send(reporter.conn, to, message{NeedsServices: reply.NeedsServices, Ages: reply.Ages, Evacuations: reply.Evacuations}, reporter.logger)
 	}
 }
 
--- a/lib/placements/availability.go
+++ b/lib/placements/availability.go
@@ -268,11 +268,11 @@
 }
 
 // deferredUntil returns the earliest time at which a server of the service takes
-// requests, if all that have not left have asked for none until some time.
+// requests, if all that have not left and are not evacuated have asked for none until some time.
 func (fleet *Fleet) deferredUntil(service string, now time.Time) (time.Time, bool) {
 	var earliest time.Time
 	for _, id := range fleet.byService[service] {
-		if fleet.servers[id].isLeaving() {
+		if fleet.servers[id].isLeaving() || fleet.isEvacuated(fleet.servers[id].Server) {
 			continue
 		}
 		switch permission := fleet.availability[id].Permission(now).(type) {
--- a/lib/placements/candidates.go
+++ b/lib/placements/candidates.go
@@ -18,6 +18,8 @@
 		Usable int
 		// Forbidden servers are not in a region in which the request may be served.
 		Forbidden int
+		// Evacuated servers are in an evacuated data centre.
+		Evacuated int
 		Leaving   int
 		Deferred  int
 		Closed    int
@@ -36,6 +38,8 @@
 	eligible exclusion = iota
 	// forbidden means that the server is not in an allowed region.
 	forbidden
+	// evacuated means that the data centre of the server is evacuated.
+	evacuated
 	// leaving means that the server leaves, by its own statement or by the platform's list.
 	leaving
 	// unavailable means that the server is closed or failing, or rejected a request just
@@ -66,6 +70,8 @@
 			counts.Usable++
 		case forbidden:
 			counts.Forbidden++
+		case evacuated:
+			counts.Evacuated++
 		case leaving:
 			counts.Leaving++
 		case deferred:
@@ -89,7 +95,7 @@
 
 // Servers returns the total number of servers.
 func (counts CandidateCounts) Servers() int {
-	return counts.Usable + counts.Forbidden + counts.Leaving + counts.Deferred + counts.Closed + counts.Tried + counts.Outdated + counts.Full + counts.Limited + counts.Slow
+	return counts.Usable + counts.Forbidden + counts.Evacuated + counts.Leaving + counts.Deferred + counts.Closed + counts.Tried + counts.Outdated + counts.Full + counts.Limited + counts.Slow
 }
 
 // IsStalled reports whether there are servers, but none can take requests at all, rather
@@ -106,7 +112,7 @@
 // IsExhausted reports whether the request was already sent to all servers that it may be
 // sent to.
 func (counts CandidateCounts) IsExhausted() bool {
-	return counts.Tried > 0 && counts.Tried+counts.Forbidden == counts.Servers()
+	return counts.Tried > 0 && counts.Tried+counts.Forbidden+counts.Evacuated == counts.Servers()
 }
 
 // exclusion returns what excludes the server for the request, and the predicted time
@@ -115,6 +121,9 @@
 	if !fleet.isAllowed(state.Server, requirements.Regions) {
 		return forbidden, 0
 	}
+	if fleet.isEvacuated(state.Server) {
+		return evacuated, 0
+	}
 	isTried := slices.Contains(requirements.Tried, state.Server.ID)
 	stated := fleet.statedExclusion(state, now)
 	switch {
--- a/lib/placements/dispatcher.go
+++ b/lib/placements/dispatcher.go
@@ -108,6 +108,9 @@
 	// NoAllowedServer means that no server is in a region in which the request may be
 	// served.
 	NoAllowedServer
+	// AllEvacuated means that all servers that the request may be sent to are in evacuated
+	// data centres.
+	AllEvacuated
 )
 
 func (Placed) isDecision()  {}
--- a/lib/placements/fleet.go
+++ b/lib/placements/fleet.go
@@ -93,9 +93,10 @@
 	Fleet struct {
 		dataCentre string
 		// regions maps data centres to their regions.
-		regions  map[string]string
-		profiles map[string]EngineProfile
-		targets  VersionTargets
+		regions     map[string]string
+		evacuations evacuations
+		profiles    map[string]EngineProfile
+		targets     VersionTargets
 		// predictionErrors holds, by service, the smoothed time by which first events came
 		// later than predicted.
 		predictionErrors map[string]time.Duration
--- a/lib/placements/home_regions.go
+++ b/lib/placements/home_regions.go
@@ -18,8 +18,12 @@
 	ForbiddenCause int
 )
 
-// NotInAllowedRegion servers are not in a region in which the request may be served.
-const NotInAllowedRegion ForbiddenCause = iota
+const (
+	// NotInAllowedRegion servers are not in a region in which the request may be served.
+	NotInAllowedRegion ForbiddenCause = iota
+	// InEvacuatedDataCentre servers are in an evacuated data centre.
+	InEvacuatedDataCentre
+)
 
 func (MayNotSend) isPermission() {}
 
@@ -40,33 +44,50 @@
 	if !fleet.isAllowed(server, allowed) {
 		return MayNotSend{Cause: NotInAllowedRegion}
 	}
-	if listed, isListed := fleet.servers[server.ID]; isListed && !fleet.isAllowed(listed.Server, allowed) {
-		return MayNotSend{Cause: NotInAllowedRegion}
+	if fleet.isEvacuated(server) {
+		return MayNotSend{Cause: InEvacuatedDataCentre}
+	}
+	listed, isListed := fleet.servers[server.ID]
+	if isListed && listed.Server.DataCentre != server.DataCentre {
+		return fleet.placePermission(listed.Server, allowed)
 	}
 	return MaySend{}
 }
 
-// isOutOfReach reports whether no server of the service may ever receive the request
-// under the present configuration, so that no wait helps it.
-func (counts CandidateCounts) isOutOfReach(requirements Requirements) bool {
-	return requirements.Regions.IsEmpty() || counts.Forbidden > 0 && counts.Forbidden == counts.Servers()
+// isOutOfReach reports whether no server of the service may receive the request until the
+// operator changes something, so that no wait helps it. A service without any server may
+// have some soon.
+func (fleet *Fleet) isOutOfReach(requirements Requirements) bool {
+	if requirements.Regions.IsEmpty() {
+		return true
+	}
+	if requirements.Regions.IsUnrestricted() && fleet.evacuations.isEmpty() {
+		return false
+	}
+	ids := fleet.byService[requirements.Service]
+	for _, id := range ids {
+		if server := fleet.servers[id].Server; fleet.isAllowed(server, requirements.Regions) && !fleet.isEvacuated(server) {
+			return false
+		}
+	}
+	return len(ids) > 0
 }
 
 // refusalCause returns why a request with these candidates is refused.
 func (counts CandidateCounts) refusalCause(requirements Requirements) RefusalCause {
-	if counts.isOutOfReach(requirements) {
+	switch {
+	case requirements.Regions.IsEmpty(), counts.Forbidden > 0 && counts.Forbidden == counts.Servers():
 		return NoAllowedServer
+	case counts.Evacuated > 0 && counts.Forbidden+counts.Evacuated == counts.Servers():
+		return AllEvacuated
+	default:
+		return NoRoomInTime
 	}
-	return NoRoomInTime
 }
 
 // refuseOutOfReach returns the refusal of a request that no server may receive.
 func (dispatcher *Dispatcher) refuseOutOfReach(requirements Requirements, now time.Time) (Refused, bool) {
-	if requirements.Regions.IsUnrestricted() {
-		return Refused{}, false
-	}
-	counts := dispatcher.fleet.CountCandidates(requirements, overcommit(requirements), now)
-	if !counts.isOutOfReach(requirements) {
+	if !dispatcher.fleet.isOutOfReach(requirements) {
 		return Refused{}, false
 	}
 	return dispatcher.newRefusal(requirements, 0, 0, now), true
--- a/lib/timelines/causes.go
+++ b/lib/timelines/causes.go
@@ -204,6 +204,7 @@
 	"too many wait":                   "refused on arrival: its turn would have come too late",
 	"no place in time":                "refused after waiting: no server had room in time",
 	"no server in an allowed region":  "refused at once: no server of the service is in a home region of the request",
+	"all servers evacuated":           "refused at once: all servers that it may be sent to are in evacuated data centres",
 	"no place before the deadline":    "refused at its deadline: no server had room",
 	"turned away":                     "refused: the servers that it was sent to did not run it, and no more may be tried",
 	"no server reached":               "refused: no connection to a server came about",
@@ -225,7 +226,7 @@
 		return "unknown reason: " + reason
 	}
 	switch reason {
-	case "too many wait", "no place in time", "no server left", "no server in an allowed region":
+	case "too many wait", "no place in time", "no server left", "no server in an allowed region", "all servers evacuated":
 		if line.Fields["ahead"] != "" {
 			text += "; " + explainNoServer(line, others)
 		}
@@ -263,6 +264,7 @@
 		{"closed", "closed or changing version"},
 		{"leaving", "leaving"},
 		{"forbidden", "not in a home region"},
+		{"evacuated", "in an evacuated data centre"},
 		{"deferred", "that had asked for no requests for a time"},
 		{"outdated", "on a version that is due"},
 		{"tried", "already tried"},
