--- a/cmd/entry/routed/routed.go
+++ b/cmd/entry/routed/routed.go
@@ -93,17 +93,17 @@
 
 // entry holds the components of one entry process.
 type entry struct {
-	settings      processes.RoutedEntry
-	logger        *zap.Logger
-	metrics       *metrics.Metrics
-	logBuffer     *logs.Buffer
-	store         tableStore
-	reachability  *platform.Reachability
-	queue         *gateways.AdmissionQueue
-	quarantines   *quarantines.Ledger
-	gateway       *gateways.Gateway
-	follower      *directives.Follower
-	agents        atomic.Pointer[[]netip.AddrPort]
+	settings     processes.RoutedEntry
+	logger       *zap.Logger
+	metrics      *metrics.Metrics
+	logBuffer    *logs.Buffer
+	store        tableStore
+	reachability *platform.Reachability
+	queue        *gateways.AdmissionQueue
+	quarantines  *quarantines.Ledger
+	gateway      *gateways.Gateway
+	follower     *directives.Follower
+	agents       atomic.Pointer[[]netip.AddrPort]
 	// agentServices holds the service of each agent's engine, nil until servers are listed.
 	agentServices atomic.Pointer[map[netip.AddrPort]string]
 	loadListener  *loads.Listener
--- a/lib/loads/loads.go
+++ b/lib/loads/loads.go
@@ -87,17 +87,17 @@
 		Versions    map[string]int `json:"versions,omitempty"`
 		// Number counts the agent's reports. Entries is how many entries it reports to, and
 		// Position the place of the addressed one among them.
-		Number   int                `json:"number,omitempty"`
-		Entries  int                `json:"entries,omitempty"`
-		Position int                `json:"position,omitempty"`
+		Number   int `json:"number,omitempty"`
+		Entries  int `json:"entries,omitempty"`
+		Position int `json:"position,omitempty"`
 		// Share holds the edges of the addressed entry's part of the free slots, in
 		// thousandths. Pace is the newest pace that the server stated, in percent.
-		Share     *[2]int `json:"share,omitempty"`
-		Pace      int     `json:"pace,omitempty"`
-		PaceAgeMS int64   `json:"pace_ms,omitempty"`
-		Limits   map[string]limit   `json:"limits,omitempty"`
-		Leaving  map[string]leaving `json:"leaving,omitempty"`
-		Crashes  *crashes           `json:"crashes,omitempty"`
+		Share     *[2]int            `json:"share,omitempty"`
+		Pace      int                `json:"pace,omitempty"`
+		PaceAgeMS int64              `json:"pace_ms,omitempty"`
+		Limits    map[string]limit   `json:"limits,omitempty"`
+		Leaving   map[string]leaving `json:"leaving,omitempty"`
+		Crashes   *crashes           `json:"crashes,omitempty"`
 	}
 )
 
--- a/lib/loads/uneven.go
+++ b/lib/loads/uneven.go
@@ -26,7 +26,7 @@
 	// the same when it is sent again.
 	parts     map[netip.AddrPort]shares.Part
 	dealtWith int
-	pace  paces.Pace
+	pace      paces.Pace
 	// paceSentAt is when a change of the pace was last reported at once.
 	paceSentAt time.Time
 }
--- a/lib/placements/load_statements_test.go
+++ b/lib/placements/load_statements_test.go
@@ -147,7 +147,9 @@
 // one that a wrong figure keeps without any.
 func TestFiguresOfPlainServersCount(t *testing.T) {
 	convey.Convey("Given two plain servers, one of which states that it is full", t, func() {
-		plain := func(id string) Server { return Server{ID: id, Address: id, Service: "pool", DataCentre: "nairobi", Slots: 8} }
+		plain := func(id string) Server {
+			return Server{ID: id, Address: id, Service: "pool", DataCentre: "nairobi", Slots: 8}
+		}
 		fleet := fleetOf(plain("a"), plain("b"))
 		fleet.RecordLoad(plain("a"), LoadStatement{Running: 8, Waiting: 3, Slots: 8, Pace: 100}, at(0))
 		choose := func(now time.Time) string {
