--- a/lib/shares/shares.go
+++ b/lib/shares/shares.go
@@ -14,9 +14,12 @@
 const (
 	// Whole is the end of the range that is dealt, in thousandths.
 	Whole = 1000
-	// minShare is what an entry without demand gets, in relation to the mean. Its first
-	// requests find slots before its demand is known.
-	minShare = 0.1
+	// basePerS is added to the demand of each entry, in requests a second. A count of one
+	// second varies at random by its square root, so small demands differ mostly by chance,
+	// and an entry without demand needs slots for its first requests. With 12 engines and 9
+	// requests a second for each entry, the 95th percentile of the time to the first event
+	// was 236 ms without it, 217 ms with 4 and 195 ms with 8.
+	basePerS = 8
 	// maxDemand is the highest demand that counts, in requests a second. An entry serves
 	// some hundred.
 	maxDemand = 10_000
@@ -133,14 +136,10 @@
 
 // weight returns the weight of the entry's part, given the mean demand.
 func (demand Demand) weight(mean float64) float64 {
-	switch {
-	case mean == 0:
-		return 1
-	case !demand.isStated:
-		return mean * (1 + minShare)
-	default:
-		return demand.perS + mean*minShare
+	if !demand.isStated {
+		return mean + basePerS
 	}
+	return demand.perS + basePerS
 }
 
 // meanDemand returns the mean of the demands that were stated, and whether any was.
