Merge shares of entries and the pace of engines

Cause: entries with more demand get an equal part of free slots, and the momentary pace of shared hosts is not used (docs/hard_load.md, part 5). Change: lib/shares, lib/paces and their use in load reports and placements, read by the lead.

--- a/lib/placements/dispatcher.go
+++ b/lib/placements/dispatcher.go
@@ -11,6 +11,7 @@
 
 	"firford/lib/demands"
 	"firford/lib/regions"
+	"firford/lib/shares"
 )
 
 const (
@@ -45,13 +46,15 @@
 		startRates   map[string]StartRate
 		retryBudgets map[string]RetryBudget
 		demands      map[string]demands.Demand
+		meters       map[string]shares.Meter
 		lastNumber   uint64
 	}
 
 	// Reservation is the capacity of a server that is reserved for one request.
 	// Predicted is the expected time to its first event, zero if unknown. Unlisted is set
 	// if the server is missing from the platform's list, and Limited if it stated a limit.
-	// Each reservation has to be ended with Release.
+	// Pace is what the server stated in its answer, in percent, zero if it did not. Each
+	// reservation has to be ended with Release.
 	Reservation struct {
 		Server    Server
 		Number    uint64
@@ -60,6 +63,7 @@
 		Unlisted  bool
 		Limited   bool
 		Answered  bool
+		Pace      int
 	}
 
 	// Decision is the result of admission. The variants are sealed.
@@ -108,6 +112,8 @@
 		Candidates  CandidateCounts
 		Waiting     int
 		RetriesLeft float64
+		Pace        PaceStatus
+		StatesPace  bool
 	}
 )
 
@@ -133,6 +139,7 @@
 		fleet: fleet, random: random,
 		queues: map[string]Queue{}, startRates: map[string]StartRate{}, retryBudgets: map[string]RetryBudget{},
 		demands: map[string]demands.Demand{},
+		meters:  map[string]shares.Meter{},
 	}
 }
 
@@ -374,11 +381,12 @@
 	}
 }
 
-// CountRequest adds a request of a caller to the demand for its service and to the
-// service's retry budget.
+// CountRequest adds a request of a caller to the demand for its service, to the rate that
+// is told to agents, and to the service's retry budget.
 func (dispatcher *Dispatcher) CountRequest(service string, request demands.Request, now time.Time) {
 	dispatcher.demands[service] = dispatcher.demands[service].WithArrival(request, now)
 	dispatcher.fleet.SetTypicalRequests(service, dispatcher.demands[service].Typical(now))
+	dispatcher.meters[service] = dispatcher.meters[service].WithArrival(len(dispatcher.queues[service].Waiters()), now)
 	dispatcher.retryBudgets[service] = dispatcher.retryBudgets[service].WithRequest(now)
 }
 
@@ -397,9 +405,12 @@
 
 // ServiceStatus returns the status of a service for plain requests.
 func (dispatcher *Dispatcher) ServiceStatus(service string, now time.Time) ServiceStatus {
+	pace, statesPace := dispatcher.fleet.PaceStatus(service, now)
 	return ServiceStatus{
 		Candidates:  dispatcher.fleet.CountCandidates(Requirements{Service: service}, serviceOvercommit, now),
 		Waiting:     len(dispatcher.queues[service].Waiters()),
 		RetriesLeft: dispatcher.retryBudgets[service].Remaining(now),
+		Pace:        pace,
+		StatesPace:  statesPace,
 	}
 }
