Log what a table of the load needs

The lines of requests lacked the organisation, whether the first event was late (the target is in no line), how long a request was in the queue (placed_after includes the reading of the body and earlier attempts), and how many routine requests have no line.

Each line now has organisation where the request has one, waited where it was in the queue, and late where its first event missed the target; a line of a routine request has left_out, the number of routine requests without a line since the last one.

--- a/lib/gateways/admission_queue.go
+++ b/lib/gateways/admission_queue.go
@@ -131,14 +131,22 @@
 	return queue.dispatcher.Fleet().PlacementDeadline(urgency, service, time.Now())
 }
 
-// acquire returns a reservation at a server with room for the request, and waits
+// acquireTimed returns a reservation at a server with room for the request, and waits
 // for one until waiter.StartBy if necessary. The error is a *refusal unless the
-// context ended first. Each reservation has to be ended with release.
-func (queue *AdmissionQueue) acquire(ctx context.Context, waiter placements.Waiter) (*placements.Reservation, error) {
+// context ended first. Each reservation has to be ended with release. The time is zero
+// if the request was placed or refused without a wait.
+func (queue *AdmissionQueue) acquireTimed(ctx context.Context, waiter placements.Waiter) (*placements.Reservation, time.Duration, error) {
 	reservation, wait, number, err := queue.admit(waiter)
 	if err != nil || reservation != nil {
-		return reservation, err
+		return reservation, 0, err
 	}
+	beganAt := time.Now()
+	reservation, err = queue.await(ctx, waiter, number, wait)
+	return reservation, time.Since(beganAt), err
+}
+
+// await waits for the end of the wait that admit began.
+func (queue *AdmissionQueue) await(ctx context.Context, waiter placements.Waiter, number uint64, wait chan waitEnd) (*placements.Reservation, error) {
 	timer := time.NewTimer(time.Until(waiter.StartBy))
 	defer timer.Stop()
 	select {
--- a/lib/gateways/fakes_test.go
+++ b/lib/gateways/fakes_test.go
@@ -225,6 +225,12 @@
 	return &gatewayFixture{address: listener.Addr().String(), gateway: gateway, queue: queue}
 }
 
+// acquire returns a reservation for the waiter, or why there is none.
+func (queue *AdmissionQueue) acquire(ctx context.Context, waiter placements.Waiter) (*placements.Reservation, error) {
+	reservation, _, err := queue.acquireTimed(ctx, waiter)
+	return reservation, err
+}
+
 // post sends a request and returns the status, the headers and the body. The error
 // is set if the request failed or the body was not complete.
 func (fixture *gatewayFixture) post(t *testing.T, path, body string, header ...string) (int, http.Header, string, error) {
--- a/lib/gateways/forward.go
+++ b/lib/gateways/forward.go
@@ -188,6 +188,7 @@
 		return
 	}
 	request.streaming = true
+	request.streamBeganAt = time.Now()
 	request.resetOnClose(true)
 	header := request.writer.Header()
 	for name, values := range endToEndHeaders(response.Header) {
--- a/lib/gateways/gateway.go
+++ b/lib/gateways/gateway.go
@@ -70,7 +70,7 @@
 		bufferBudget   *bufferBudget
 		callerTimeouts *callerTimeouts
 		metrics        gatewayMetrics
-		sampler        *rate.Limiter
+		sampler        *sampler
 		unreadableLog  rate.Sometimes
 		draining       atomic.Bool
 		inFlight       atomic.Int64
@@ -218,6 +218,10 @@
 	// last answer began, and predictedDelay the predicted time between the two.
 	placedAt, answerBeganAt time.Time
 	predictedDelay          time.Duration
+	// waited is how long the request was in the queue, over all its reservations.
+	waited time.Duration
+	// streamBeganAt is when the caller's stream began, zero without a stream.
+	streamBeganAt time.Time
 	// placedVersion is the version of the request's model at the server of that reservation.
 	placedVersion int
 	// usesUnlistedServer is set if the request got a reservation at a server that is
--- a/lib/gateways/request_log.go
+++ b/lib/gateways/request_log.go
@@ -7,10 +7,13 @@
 
 import (
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 	"golang.org/x/time/rate"
+
+	"firford/lib/logs"
 )
 
 const (
@@ -37,15 +40,42 @@
 	eventRequestReleased    = "request released"
 )
 
-// newSampler returns the rate limiter for lines on routine requests.
-func newSampler() *rate.Limiter { return rate.NewLimiter(routineLinesPerS, routineLineBurst) }
+// sampler decides which lines on routine requests are written, and counts the others
+// until the next one is written. It is safe for concurrent use.
+type sampler struct {
+	limiter *rate.Limiter
+	leftOut atomic.Int64
+}
+
+func newSampler() *sampler {
+	return &sampler{limiter: rate.NewLimiter(routineLinesPerS, routineLineBurst)}
+}
+
+// sample reports whether the next line is written, and how many were left out since the
+// last one that was written.
+func (sampler *sampler) sample() (leftOut int64, isWritten bool) {
+	if !sampler.limiter.Allow() {
+		sampler.leftOut.Add(1)
+		return 0, false
+	}
+	return sampler.leftOut.Swap(0), true
+}
 
 // recordAnswered counts and logs a request that ended with a server's answer.
 func (request *request) recordAnswered(status int, fields ...zap.Field) {
 	request.gateway.metrics.countEnd(status, reasonNone)
-	if request.isRoutine(status) && !request.gateway.sampler.Allow() {
-		request.gateway.metrics.countSampledOut()
-		return
+	if request.isRoutine(status) {
+		leftOut, isWritten := request.gateway.sampler.sample()
+		if !isWritten {
+			request.gateway.metrics.countSampledOut()
+			return
+		}
+		if leftOut > 0 {
+			fields = append(fields, zap.Int64("left_out", leftOut))
+		}
+	}
+	if request.isLate(request.firstEventAt()) {
+		fields = append(fields, zap.Bool("late", true))
 	}
 	request.log(eventEnded, append(fields, zap.Int("status", status))...)
 }
@@ -53,10 +83,24 @@
 // isRoutine reports whether the first server answered the request in time and
 // without an error, and was listed.
 func (request *request) isRoutine(status int) bool {
-	inTime := !request.answerBeganAt.After(request.firstArrivedAt.Add(request.target()))
+	inTime := !request.isLate(request.firstEventAt())
 	return status < http.StatusBadRequest && len(request.triedServers) == 1 && inTime && !request.usesUnlistedServer
 }
 
+// firstEventAt returns when the answer of an answered request began. A stream that another
+// server went on with began at the first one.
+func (request *request) firstEventAt() time.Time {
+	if request.streaming {
+		return request.streamBeganAt
+	}
+	return request.answerBeganAt
+}
+
+// isLate reports whether an answer that began at this time missed the route's target.
+func (request *request) isLate(beganAt time.Time) bool {
+	return beganAt.After(request.firstArrivedAt.Add(request.target()))
+}
+
 // recordOwnEnd counts and logs a request that ended without a server's answer. The
 // status is zero if the caller's connection ended without any answer.
 func (request *request) recordOwnEnd(status int, reason reason, fields ...zap.Field) {
@@ -74,6 +118,9 @@
 	if request.refusal != nil {
 		fields = append(fields, request.refusal.fields()...)
 	}
+	if request.isLate(request.streamBeganAt) {
+		fields = append(fields, zap.Bool("late", true))
+	}
 	request.log(eventEnded, fields...)
 }
 
@@ -109,6 +156,12 @@
 		zap.Bool("streaming", request.streaming),
 		zap.Duration("after", time.Since(request.arrivedAt)),
 	)
+	if organisation := request.match.Organisation.Name; organisation != "" {
+		fields = append(fields, logs.Organisation(organisation))
+	}
+	if request.waited > 0 {
+		fields = append(fields, zap.Duration("waited", request.waited))
+	}
 	if waitedBefore := request.arrivedAt.Sub(request.firstArrivedAt); !request.firstArrivedAt.IsZero() && waitedBefore > 0 {
 		fields = append(fields, zap.Duration("asked_before", waitedBefore))
 	}
--- a/lib/gateways/retries.go
+++ b/lib/gateways/retries.go
@@ -169,11 +169,18 @@
 // left and without another retry.
 func (request *request) acquire(ctx context.Context) (*placements.Reservation, error) {
 	waiter := request.waiter()
-	reservation, err := request.gateway.Queue.acquire(ctx, waiter)
+	reservation, err := request.acquireOrWait(ctx, waiter)
 	if !errors.As(err, &request.refusal) || !waiter.MayWaitLate() || !request.refusal.Candidates.IsStalled() {
 		return reservation, err
 	}
-	return request.gateway.Queue.acquire(ctx, request.waiter())
+	return request.acquireOrWait(ctx, request.waiter())
+}
+
+// acquireOrWait returns a reservation for the waiter and adds up how long it waited.
+func (request *request) acquireOrWait(ctx context.Context, waiter placements.Waiter) (*placements.Reservation, error) {
+	reservation, waited, err := request.gateway.Queue.acquireTimed(ctx, waiter)
+	request.waited += waited
+	return reservation, err
 }
 
 // endUnplaced ends a request that got no reservation because of err.
