Add firford load, which counts requests by second from logs

The command reads logs of entries as a stream and prints tables by second, route, organisation and data centre, as text or JSON: arrivals, placed at once, waited with median and 95th percentile, refused at once or later, gave up, rejected, unanswered, late, retries, repeats of callers, and which share of the requests the lines cover. Rows are bounded: intervals come to cover twice the time, further names share a row.

RequestLog and LoadLog share the reading of lines, which no longer copies each line.

--- a/cmd/firford/commands/commands.go
+++ b/cmd/firford/commands/commands.go
@@ -66,6 +66,7 @@
 		Status  *statusCommand  `arg:"subcommand:status" help:"show where a revision is in force"`
 		Burn    *burnCommand    `arg:"subcommand:burn" help:"show how fast error budgets are used up"`
 		Explain *explainCommand `arg:"subcommand:explain" help:"explain a request from the logs of entries and agents"`
+		Load    *loadCommand    `arg:"subcommand:load" help:"show the load by second from the logs of entries"`
 		Check   *checkCommand   `arg:"subcommand:check" help:"check a settings file of an entry or agent"`
 	}
 
--- a/cmd/firford/commands/commands_test.go
+++ b/cmd/firford/commands/commands_test.go
@@ -210,7 +210,7 @@
 	convey.Convey("Every command prints its usage, an example and the exit codes", t, func() {
 		for _, line := range []string{
 			"", "create", "get", "list", "update", "delete", "version", "version publish", "rollout", "rollout start",
-			"rollout watch", "rollout pause", "rollout resume", "rollout undo", "engines", "status", "burn", "check",
+			"rollout watch", "rollout pause", "rollout resume", "rollout undo", "engines", "status", "burn", "explain", "load", "check",
 		} {
 			var out bytes.Buffer
 			code := Run(context.Background(), append(strings.Fields(line), "--help"), &out, &out)
--- a/lib/timelines/lines.go
+++ b/lib/timelines/lines.go
@@ -1,6 +1,7 @@
 // Package timelines explains the outcome of a request from the logs of entries and
 // agents. It merges the log lines of the request with those of the processes and
-// engines that were involved, sorts them by time and derives the causes.
+// engines that were involved, sorts them by time and derives the causes. It also counts
+// the requests in the logs of entries by second, route, organisation and data centre.
 package timelines
 
 import (
@@ -43,17 +44,28 @@
 	}
 
 	// RequestLog holds the log lines for one request: those of the request itself,
-	// and those of processes that belong to no request. LinesRead counts all lines
-	// that were read, and UnreadableLines lists the first unreadable ones.
+	// and those of processes that belong to no request.
 	RequestLog struct {
-		RequestID         string
-		RequestLines      []Line
-		ProcessLines      []Line
+		RequestID    string
+		RequestLines []Line
+		ProcessLines []Line
+		LineCounts
+	}
+
+	// LineCounts counts the lines of logs. LinesRead counts all lines that were read, and
+	// UnreadableLines lists the first unreadable ones.
+	LineCounts struct {
 		LinesRead         int
 		UnreadableLines   []UnreadableLine
 		unreadableNotKept int
 	}
 
+	// location is the place of a line in the logs.
+	location struct {
+		name   string
+		number int
+	}
+
 	// UnreadableLine is the location of a line that could not be parsed, and why.
 	UnreadableLine struct {
 		Location string `json:"place"`
@@ -68,46 +80,57 @@
 // NewRequestLog returns an empty log for the request.
 func NewRequestLog(requestID string) *RequestLog { return &RequestLog{RequestID: requestID} }
 
+func (location location) String() string {
+	return fmt.Sprintf("%s:%d", location.name, location.number)
+}
+
 // UnreadableCount returns how many lines could not be parsed.
-func (log *RequestLog) UnreadableCount() int { return len(log.UnreadableLines) + log.unreadableNotKept }
+func (counts *LineCounts) UnreadableCount() int {
+	return len(counts.UnreadableLines) + counts.unreadableNotKept
+}
 
 // AddLog reads a log and adds its lines. Text before the time field of a line, such
 // as a prefix of a log collector, is ignored. It returns only errors of the reader;
 // unreadable lines are counted instead.
 func (log *RequestLog) AddLog(reader io.Reader, name string) error {
+	return log.readLines(reader, name, log.addLine)
+}
+
+// readLines reads a log as a stream and passes each line that is not empty to add. The
+// text is valid during the call. It returns only errors of the reader.
+func (counts *LineCounts) readLines(reader io.Reader, name string, add func(text []byte, location location)) error {
 	buffered := bufio.NewReaderSize(reader, maxLineBytes)
-	for lineNumber := 1; ; lineNumber++ {
+	for location := (location{name: name, number: 1}); ; location.number++ {
 		text, isTooLong, err := readLine(buffered)
-		location := fmt.Sprintf("%s:%d", name, lineNumber)
 		switch {
 		case isTooLong:
-			log.LinesRead++
-			log.recordUnreadable(location, errLineTooLong)
+			counts.LinesRead++
+			counts.recordUnreadable(location, errLineTooLong)
 		case len(text) > 0:
-			log.addLine(text, location)
+			counts.LinesRead++
+			add(text, location)
 		}
 		if errors.Is(err, io.EOF) {
 			return nil
 		}
 		if err != nil {
-			return fmt.Errorf("%s:%d: %w", name, lineNumber, err)
+			return fmt.Errorf("%s: %w", location, err)
 		}
 	}
 }
 
-// readLine returns the next line, or that it is too long.
+// readLine returns the next line, which is valid until the next call, or that it is too
+// long.
 func readLine(reader *bufio.Reader) (line []byte, isTooLong bool, err error) {
-	text, hasMore, err := reader.ReadLine()
-	line, isTooLong = bytes.Clone(text), hasMore
-	for hasMore && err == nil {
+	line, isTooLong, err = reader.ReadLine()
+	for hasMore := isTooLong; hasMore && err == nil; {
 		_, hasMore, err = reader.ReadLine()
 	}
 	return line, isTooLong, err
 }
 
 // addLine parses a line and adds it, unless it belongs to another request.
-func (log *RequestLog) addLine(text []byte, location string) {
-	log.LinesRead++
+func (log *RequestLog) addLine(text []byte, location location) {
 	hasRequestID := bytes.Contains(text, []byte(fieldRequest+"="+log.RequestID))
 	if !hasRequestID && bytes.Contains(text, []byte(" "+fieldRequest+"=")) {
 		return
@@ -124,21 +147,21 @@
 }
 
 // recordUnreadable counts a line that could not be parsed, and keeps the first ones.
-func (log *RequestLog) recordUnreadable(location string, err error) {
-	if len(log.UnreadableLines) == maxUnreadableLines {
-		log.unreadableNotKept++
+func (counts *LineCounts) recordUnreadable(location location, err error) {
+	if len(counts.UnreadableLines) == maxUnreadableLines {
+		counts.unreadableNotKept++
 		return
 	}
-	log.UnreadableLines = append(log.UnreadableLines, UnreadableLine{Location: location, Problem: err.Error()})
+	counts.UnreadableLines = append(counts.UnreadableLines, UnreadableLine{Location: location.String(), Problem: err.Error()})
 }
 
 // parseLine parses one line of key=value pairs.
-func parseLine(text []byte, location string) (Line, error) {
+func parseLine(text []byte, location location) (Line, error) {
 	start := bytes.Index(text, []byte(fieldTime+"="))
 	if start < 0 {
 		return Line{}, errNoTime
 	}
-	line := Line{Location: location, Fields: map[string]string{}}
+	line := Line{Location: location.String(), Fields: map[string]string{}}
 	decoder := logfmt.NewDecoder(bytes.NewReader(text[start:]))
 	for decoder.ScanRecord() {
 		for decoder.ScanKeyval() {
