Count a crash once that entries notice seconds apart

Cause: an entry stamps a crash when it notices it, and records of a server merged only within a second. An entry that stood still recorded the same crash again: a request was not repeated after one crash, a part was quarantined after two instead of three.

Records of a server merge within 5 s. So that a server which starts again under its id and crashes again still counts twice, a record carries the start that the entry knew; records with different starts merge within a second, as before. A server whose start is unknown, or of whose new start the entry has not heard, counts once in 5 s if it crashes that often. Records in datagrams grow by 21 bytes where the start is known; processes of the build before ignore the field.

--- a/lib/gateways/crashes.go
+++ b/lib/gateways/crashes.go
@@ -48,7 +48,7 @@
 // recordCrash records that a request was cut off by its server, and tells the other
 // entries.
 func (gateway *Gateway) recordCrash(server placements.Server, traits []quarantines.Trait, now time.Time) {
-	crash := quarantines.Crash{Server: server.ID, At: now, Traits: traits}
+	crash := quarantines.Crash{Server: server.ID, StartedUnixMilli: server.StartedUnixMilli, At: now, Traits: traits}
 	isNew, changes := gateway.Quarantines.RecordOwn(crash, now)
 	gateway.LogQuarantines(changes)
 	if isNew {
--- a/lib/loads/crashes.go
+++ b/lib/loads/crashes.go
@@ -15,7 +15,7 @@
 	maxCrashBytes = maxDatagramBytes / 2
 	// crashOverheadBytes and partOverheadBytes are at least what the encoding adds to the
 	// texts of a record and of a part, and requestBytes what a fingerprint takes.
-	crashOverheadBytes = 64
+	crashOverheadBytes = 96
 	partOverheadBytes  = 16
 	requestBytes       = 36
 )
@@ -32,6 +32,7 @@
 	// crash is a quarantines.Crash in a datagram.
 	crash struct {
 		Server   string   `json:"server"`
+		Born     int64    `json:"born,omitempty"`
 		AgeMS    int64    `json:"age_ms"`
 		Parts    []string `json:"parts"`
 		Requests []uint64 `json:"requests,omitempty"`
@@ -55,7 +56,7 @@
 	bytesLeft := maxCrashBytes
 	for _, each := range slices.Backward(records.Crashes()) {
 		bytesLeft -= crashOverheadBytes + len(each.Server)
-		next := crash{Server: each.Server, AgeMS: now.Sub(each.At).Milliseconds()}
+		next := crash{Server: each.Server, Born: each.StartedUnixMilli, AgeMS: now.Sub(each.At).Milliseconds()}
 		for _, trait := range each.Traits {
 			bytesLeft -= traitBytes(trait)
 			next.add(trait)
@@ -125,7 +126,7 @@
 			traits = append(traits, quarantines.Fingerprint(request))
 		}
 		if each.Server != "" && len(traits) > 0 {
-			records, _ = records.With(quarantines.Crash{Server: each.Server, At: timeOfAge(each.AgeMS, now), Traits: traits}, now)
+			records, _ = records.With(quarantines.Crash{Server: each.Server, StartedUnixMilli: max(each.Born, 0), At: timeOfAge(each.AgeMS, now), Traits: traits}, now)
 		}
 	}
 	for part, age := range encoded.SoundMS {
--- a/lib/loads/loads_test.go
+++ b/lib/loads/loads_test.go
@@ -208,7 +208,7 @@
 		reporter := NewReporter(agentConn, func(directives.Announcement) AnnouncementReply { return AnnouncementReply{} }, zap.NewNop())
 		go reporter.Run(ctx)
 		reporter.Report(placements.Report{Server: "i-1"})
-		crash := quarantines.Crash{Server: "i-9", At: time.Now().Add(-time.Second), Traits: append(quarantines.Parts("common", "bad"), quarantines.Fingerprint(1<<63))}
+		crash := quarantines.Crash{Server: "i-9", StartedUnixMilli: 1_800_000_000_000, At: time.Now().Add(-time.Second), Traits: append(quarantines.Parts("common", "bad"), quarantines.Fingerprint(1<<63))}
 		records, _ := quarantines.Records{}.With(crash, time.Now())
 		records, _ = records.WithAnswer(quarantines.Answer{Trait: quarantines.Part("common"), BeganAt: time.Now().Add(-2 * time.Second)}, time.Now())
 		heard := make(chan quarantines.Records, 64)
@@ -234,6 +234,7 @@
 		first := <-heard
 		convey.So(len(first.Crashes()), convey.ShouldEqual, 1)
 		convey.So(first.Crashes()[0].Server, convey.ShouldEqual, "i-9")
+		convey.So(first.Crashes()[0].StartedUnixMilli, convey.ShouldEqual, crash.StartedUnixMilli)
 		convey.So(first.Crashes()[0].Traits, convey.ShouldResemble, crash.Traits)
 		convey.So(first.Crashes()[0].At, convey.ShouldHappenWithin, 100*time.Millisecond, crash.At)
 		convey.So(first.Answers()[0].Trait, convey.ShouldEqual, quarantines.Part("common"))
--- a/lib/quarantines/late_crashes_test.go
+++ b/lib/quarantines/late_crashes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/smartystreets/goconvey/convey"
 )
@@ -27,3 +28,18 @@
 		})
 	})
 }
+
+// Guards against a server that crashes soon after it was started again under its id, of
+// which the second crash does not count, and against a crash that counts twice because an
+// entry has not heard of the start.
+func TestCrashesOfDifferentStartsCountEach(t *testing.T) {
+	convey.Convey("Given two records of a server that state different starts", t, func() {
+		count := func(apart time.Duration) int {
+			all, _ := Records{}.With(Crash{Server: "i-1", StartedUnixMilli: 1, At: at(1), Traits: Parts("bad")}, at(9))
+			all, _ = all.With(Crash{Server: "i-1", StartedUnixMilli: 2, At: at(1).Add(apart), Traits: Parts("bad")}, at(9))
+			return len(all.Crashes())
+		}
+		convey.So(count(2*time.Second), convey.ShouldEqual, 2)
+		convey.So(count(100*time.Millisecond), convey.ShouldEqual, 1)
+	})
+}
--- a/lib/quarantines/records.go
+++ b/lib/quarantines/records.go
@@ -10,9 +10,14 @@
 )
 
 const (
-	// mergeTime is how far apart the records of one crash may be. A server needs longer
-	// than that to start again.
-	mergeTime = time.Second
+	// mergeTime is how far apart the records of one crash may be: an entry that stood still
+	// notices it that much later. Within it, a server that starts again under its id and
+	// crashes again counts once, unless the records state its starts.
+	mergeTime = 5 * time.Second
+	// minRestartTime is how far apart the records of one crash may be if they state
+	// different starts of the server, of which an entry may have heard late. A server needs
+	// longer than that to start again.
+	minRestartTime = time.Second
 	// recordLifetime is how long a crash is remembered.
 	recordLifetime = time.Hour
 	// maxCrashes, maxCrashTraits and maxAnswers bound the records.
@@ -28,11 +33,13 @@
 
 type (
 	// Crash is a server that ended, and the traits of the requests that it cut off before it
-	// had answered them for long.
+	// had answered them for long. StartedUnixMilli is when the server was started, as far as
+	// the entry knew, zero if unknown.
 	Crash struct {
-		Server string
-		At     time.Time
-		Traits []Trait
+		Server           string
+		StartedUnixMilli int64
+		At               time.Time
+		Traits           []Trait
 	}
 
 	// Answer is that an answer to a request with the trait began and went on.
@@ -48,13 +55,23 @@
 	}
 )
 
+// isSame reports whether both are records of one crash.
+func (crash Crash) isSame(other Crash) bool {
+	limit := mergeTime
+	hasStarts := crash.StartedUnixMilli > 0 && other.StartedUnixMilli > 0
+	if hasStarts && crash.StartedUnixMilli != other.StartedUnixMilli {
+		limit = minRestartTime
+	}
+	return crash.Server == other.Server && crash.At.Sub(other.At).Abs() < limit
+}
+
 // With returns the records with one more crash, and whether it says anything new.
 func (records Records) With(crash Crash, now time.Time) (Records, bool) {
 	if crash.At.After(now) {
 		crash.At = now
 	}
 	for i, known := range records.crashes {
-		if known.Server != crash.Server || crash.At.Sub(known.At).Abs() >= mergeTime {
+		if !known.isSame(crash) {
 			continue
 		}
 		traits := union(known.Traits, crash.Traits)
