Test that the load report reads what entries write

The names of the log fields stand in lib/gateways and in lib/timelines; a change of one would make the table wrong without a failure. The test of left_out now passes the lines of a gateway through the report. go test -race ./lib/gateways -run 'LeftOut|LateFirst' passes, three times.

--- a/lib/gateways/request_log_test.go
+++ b/lib/gateways/request_log_test.go
@@ -1,16 +1,22 @@
 package gateways
 
 import (
+	"bytes"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/smartystreets/goconvey/convey"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 	"go.uber.org/zap/zaptest/observer"
 	"golang.org/x/time/rate"
+
+	"firford/lib/logs"
+	"firford/lib/timelines"
 )
 
 // delayed runs the script after the route's target.
@@ -31,24 +37,33 @@
 }
 
 // Guards against a log from which the number of requests can't be told, because the lines
-// that were left out are counted nowhere in it.
+// that were left out are counted nowhere in it, and against fields whose names differ from
+// those that lib/timelines reads.
 func TestLinesTellHowManyWereLeftOut(t *testing.T) {
 	convey.Convey("Given routine requests of which only the first may write its line", t, func() {
 		fixture := newGatewayFixture(t, 4, newScriptedServer(t, answer(http.StatusOK, signedHeader, "slip")))
-		core, lines := observer.New(zap.InfoLevel)
-		fixture.gateway.Logger = zap.New(core)
+		var text bytes.Buffer
+		logger, err := logs.NewTo("info", "entry-1", zapcore.Lock(zapcore.AddSync(&text)))
+		convey.So(err, convey.ShouldBeNil)
+		fixture.gateway.Logger = logger
 		fixture.gateway.sampler.limiter = rate.NewLimiter(0, 1)
 		for range 4 {
 			fixture.post(t, "/again/", "")
 		}
-		convey.Convey("Then the next line that is written counts the others", func() {
+		convey.Convey("Then the next line that is written counts the others, and the load has all", func() {
 			fixture.gateway.sampler.limiter.SetLimit(rate.Inf)
 			fixture.post(t, "/again/", "")
-			fields := endFields(lines)
-			convey.So(fields, convey.ShouldHaveLength, 2)
-			convey.So(fields[0], convey.ShouldNotContainKey, "left_out")
-			convey.So(fields[1]["left_out"], convey.ShouldEqual, 3)
-			convey.So(fields[1]["organisation"], convey.ShouldEqual, "buyers")
+			fixture.post(t, "/again/", "")
+			fixture.post(t, "/elsewhere/", "")
+			convey.So(strings.Count(text.String(), "left_out=3 "), convey.ShouldEqual, 1)
+			log := timelines.NewLoadLog()
+			convey.So(log.AddLog(&text, "log"), convey.ShouldBeNil)
+			report := log.Report()
+			convey.So(report.Total.Arrivals, convey.ShouldEqual, 4)
+			convey.So(report.Total.PlacedAtOnce, convey.ShouldEqual, 3)
+			convey.So(report.Total.Rejected, convey.ShouldEqual, 1)
+			convey.So(*report.Total.Covered, convey.ShouldAlmostEqual, 4.0/7)
+			convey.So(report.Organisations[0].Name, convey.ShouldEqual, "buyers")
 		})
 	})
 }
