Explain the counts of the new exclusions

docs/hard_load.md adds forbidden, evacuated, cold and outranked to the log of refusals; firford explain would have passed over them and told that no server is listed where these are the only ones. It names them now wherever a line has them.

--- a/lib/timelines/causes.go
+++ b/lib/timelines/causes.go
@@ -263,6 +263,10 @@
 		{"leaving", "leaving"},
 		{"deferred", "that had asked for no requests for a time"},
 		{"outdated", "on a version that is due"},
+		{"forbidden", "not in an allowed region"},
+		{"evacuated", "in an evacuated data centre"},
+		{"cold", "warming up after a start"},
+		{"outranked", "with room only for requests with a stricter target"},
 		{"tried", "already tried"},
 		{"usable", "free again"},
 	} {
--- a/lib/timelines/timelines_test.go
+++ b/lib/timelines/timelines_test.go
@@ -35,7 +35,7 @@
 func TestExplanations(t *testing.T) {
 	convey.Convey("Given logs of an entry and two agents", t, func() {
 		var out bytes.Buffer
-		for _, id := range []string{"stream-1", "refused-1", "once-1", "unfinished-1", "early-1", "left-1", "moved-1", "unlisted-1", "deferred-1", "leaving-1"} {
+		for _, id := range []string{"stream-1", "refused-1", "once-1", "unfinished-1", "early-1", "left-1", "moved-1", "unlisted-1", "deferred-1", "leaving-1", "ranked-1"} {
 			explanation, found := readLogs(t, id).Explain()
 			convey.So(found, convey.ShouldBeTrue)
 			explanation.Print(&out)
