--- a/lib/placements/availability.go
+++ b/lib/placements/availability.go
@@ -267,12 +267,12 @@
 	return permission
 }
 
-// deferredUntil returns the earliest time at which a server of the service takes
-// requests, if all that have not left and are not evacuated have asked for none until some time.
-func (fleet *Fleet) deferredUntil(service string, now time.Time) (time.Time, bool) {
+// deferredUntil returns the earliest time at which a server takes the request, if all that have not left, and may receive it, have asked for none until some time.
+func (fleet *Fleet) deferredUntil(requirements Requirements, now time.Time) (time.Time, bool) {
 	var earliest time.Time
-	for _, id := range fleet.byService[service] {
-		if fleet.servers[id].isLeaving() || fleet.isEvacuated(fleet.servers[id].Server) {
+	for _, id := range fleet.byService[requirements.Service] {
+		state := fleet.servers[id]
+		if state.isLeaving() || fleet.isEvacuated(state.Server) || !fleet.isAllowed(state.Server, requirements.Regions) {
 			continue
 		}
 		switch permission := fleet.availability[id].Permission(now).(type) {
--- a/lib/placements/dispatcher.go
+++ b/lib/placements/dispatcher.go
@@ -166,7 +166,7 @@
 		return 0
 	}
 	wait := dispatcher.startRates[requirements.Service].ExpectedWait(ahead, now)
-	if until, isDeferred := dispatcher.fleet.deferredUntil(requirements.Service, now); isDeferred {
+	if until, isDeferred := dispatcher.fleet.deferredUntil(requirements, now); isDeferred {
 		return max(wait, until.Sub(now))
 	}
 	return wait
@@ -182,16 +182,13 @@
 }
 
 // RefuseDeferred removes from the queue the requests that can't be placed by their
-// StartBy, because all servers of the service asked for no requests until later, and
+// StartBy, because all servers that may receive them asked for no requests until later, and
 // returns their refusals.
 func (dispatcher *Dispatcher) RefuseDeferred(service string, now time.Time) []Refusal {
-	until, isDeferred := dispatcher.fleet.deferredUntil(service, now)
-	if !isDeferred {
-		return nil
-	}
 	var refusals []Refusal
 	for _, waiter := range dispatcher.queues[service].Waiters() {
-		if waiter.StartBy.Before(until) {
+		until, isDeferred := dispatcher.fleet.deferredUntil(waiter.Requirements, now)
+		if isDeferred && waiter.StartBy.Before(until) {
 			refusals = append(refusals, Refusal{Number: waiter.Number, Refused: dispatcher.Refuse(waiter, waiter.Number, now)})
 		}
 	}
@@ -219,7 +216,7 @@
 // servers did not run: the delay, or when the first server takes requests again if all of
 // them asked for none.
 func (dispatcher *Dispatcher) RetryAfter(service string, delay time.Duration, now time.Time) time.Duration {
-	until, isDeferred := dispatcher.fleet.deferredUntil(service, now)
+	until, isDeferred := dispatcher.fleet.deferredUntil(Requirements{Service: service}, now)
 	if !isDeferred {
 		return delay
 	}
--- a/lib/routes/routes_test.go
+++ b/lib/routes/routes_test.go
@@ -4,6 +4,8 @@
 	"testing"
 
 	"github.com/smartystreets/goconvey/convey"
+
+	"firford/lib/regions"
 )
 
 func table() Table {
@@ -81,3 +83,20 @@
 		convey.So(Route{RetryMode: Stream, Resumable: true}.MayRetry(), convey.ShouldBeTrue)
 	})
 }
+
+// Guards against a route and an organisation of which only one limits a request.
+func TestHomeRegionsOfRouteAndOrganisationBothApply(t *testing.T) {
+	convey.Convey("Given a route and an organisation with and without home regions", t, func() {
+		for _, each := range []struct{ route, organisation, want regions.Set }{
+			{regions.Set{}, regions.Set{}, regions.Set{}},
+			{regions.Only("north", "south"), regions.Set{}, regions.Only("north", "south")},
+			{regions.Set{}, regions.Only("south"), regions.Only("south")},
+			{regions.Only("north", "south"), regions.Only("south", "west"), regions.Only("south")},
+			{regions.Only("north"), regions.Only("south"), regions.Only()},
+		} {
+			match := Match{Route: Route{Regions: each.route}, Organisation: Organisation{Regions: each.organisation}}
+			convey.So(match.Regions().String(), convey.ShouldEqual, each.want.String())
+			convey.So(match.Regions().IsEmpty(), convey.ShouldEqual, each.want.IsEmpty())
+		}
+	})
+}
