Let rules change while connections open in the test of home regions

Cause: the state machine sent each request as soon as it had a reservation, so that a fault in the check right before sending passed it.

Change: requests wait for their connection, while the list, the home regions and the evacuations change.

Result: without the check of the chosen server, of its listed entry or of evacuations, the test fails after 6 to 33 histories; with them it passes.

--- a/lib/placements/home_regions_test.go
+++ b/lib/placements/home_regions_test.go
@@ -50,9 +50,18 @@
 		homes := regions.Set{}
 		var evacuated []string
 		waiting := map[uint64]Waiter{}
+		// opening holds the requests whose connection is being opened.
+		type openingRequest struct {
+			waiter      Waiter
+			reservation *Reservation
+		}
+		var opening []openingRequest
 		var running []*Reservation
 		var retry func(t *rapid.T, waiter Waiter, id string)
 		var admit func(t *rapid.T, waiter Waiter)
+		connect := func(waiter Waiter, reservation *Reservation) {
+			opening = append(opening, openingRequest{waiter: waiter, reservation: reservation})
+		}
 		send := func(t *rapid.T, waiter Waiter, reservation *Reservation) {
 			if _, mayNot := dispatcher.PermissionToSend(reservation, homes, now).(MayNotSend); mayNot {
 				dispatcher.Release(reservation, Abandoned, now)
@@ -70,7 +79,7 @@
 			waiter.Requirements.Regions = homes
 			switch decision := dispatcher.Admit(waiter, now).(type) {
 			case Placed:
-				send(t, waiter, decision.Reservation)
+				connect(waiter, decision.Reservation)
 			case Queued:
 				waiting[decision.Number] = waiter
 			case Refused:
@@ -83,11 +92,11 @@
 			waiter.Requirements.Tried = append([]string{id}, waiter.Requirements.Tried...)
 			admit(t, waiter)
 		}
-		dispatch := func(t *rapid.T) {
+		dispatch := func() {
 			for _, grant := range dispatcher.DispatchAll(now) {
 				waiter := waiting[grant.Number]
 				delete(waiting, grant.Number)
-				send(t, waiter, grant.Reservation)
+				connect(waiter, grant.Reservation)
 			}
 		}
 		t.Repeat(map[string]func(*rapid.T){
@@ -97,6 +106,14 @@
 				waiter.Requirements.Resumed = rapid.Bool().Draw(t, "resumed")
 				admit(t, waiter)
 			},
+			"connection opens": func(t *rapid.T) {
+				if len(opening) == 0 {
+					return
+				}
+				opened := opening[0]
+				opening = opening[1:]
+				send(t, opened.waiter, opened.reservation)
+			},
 			"request ends": func(t *rapid.T) {
 				if len(running) == 0 {
 					return
@@ -108,7 +125,7 @@
 				if outcome != Answered {
 					retry(t, waiterIn(homes, now.Add(time.Minute)), ended.Server.ID)
 				}
-				dispatch(t)
+				dispatch()
 			},
 			"server is silent": func(t *rapid.T) {
 				if len(running) == 0 {
@@ -127,7 +144,7 @@
 					}
 				}
 				fleet.SetEvacuations(evacuated, now)
-				dispatch(t)
+				dispatch()
 				for _, refusal := range dispatcher.RefuseOutOfReach(now) {
 					delete(waiting, refusal.Number)
 				}
@@ -136,16 +153,16 @@
 				i := rapid.IntRange(0, servers-1).Draw(t, "server")
 				list[i].DataCentre = rapid.SampledFrom(dataCentres).Draw(t, "data centre")
 				fleet.UpdateServers(list, time.Time{}, now)
-				dispatch(t)
+				dispatch()
 			},
 			"report": func(t *rapid.T) {
 				id := fmt.Sprint(rapid.IntRange(0, servers-1).Draw(t, "server"))
 				fleet.ApplyReport(Report{Server: id, Running: rapid.IntRange(0, 4).Draw(t, "running")}, now)
-				dispatch(t)
+				dispatch()
 			},
 			"time passes": func(t *rapid.T) {
 				now = now.Add(time.Duration(rapid.IntRange(1, 2000).Draw(t, "milliseconds")) * time.Millisecond)
-				dispatch(t)
+				dispatch()
 			},
 		})
 	})
