Apply evacuations before the configuration of the same view

Cause: an entry that reads its first view of the operator's table put the configuration in force first, and could send requests to an evacuated data centre until it had applied the rows of the same view.

Change: apply the rows of evacuations first.

--- a/lib/directives/directives.go
+++ b/lib/directives/directives.go
@@ -113,11 +113,12 @@
 	follower.mutex.Lock()
 	defer follower.mutex.Unlock()
 	view.LogDecodeErrors(follower.Logger, desired.DecodeErrors)
+	// Before the first configuration, with which requests begin.
+	follower.applyEvacuationRows(desired.Evacuations, view.Position, now)
 	if desired.HasConfiguration && desired.Configuration.Version > follower.Routes().Version() {
 		follower.applyConfiguration(desired.Configuration, view.Revision)
 	}
 	follower.recordVersions(desired.Versions, now, view.UnreadSince)
-	follower.applyEvacuationRows(desired.Evacuations, view.Position, now)
 	follower.loaded = true
 }
 
--- a/lib/directives/evacuations.go
+++ b/lib/directives/evacuations.go
@@ -19,6 +19,8 @@
 	// maxEvacuationBytes bounds the names of data centres in a datagram. A state is passed
 	// on as a whole or not at all, since a part of it would end evacuations.
 	maxEvacuationBytes = 1024
+	// maxHeldMS keeps a remaining time in a datagram from overflowing; the state allows less.
+	maxHeldMS = 60_000
 )
 
 // How a process learned that an evacuation began or ended. HeardByTime means that the row
@@ -76,7 +78,6 @@
 	}
 	held := map[string]time.Time{}
 	for dataCentre, milliseconds := range encoded.HeldMS {
-		const maxHeldMS = 60_000
 		held[dataCentre] = now.Add(time.Duration(min(max(milliseconds, 0), maxHeldMS)) * time.Millisecond)
 	}
 	position := platform.Position{Epoch: encoded.Epoch, Revision: encoded.Revision}
