Bound the requests that cold servers get

Cause: a server that has just started crashes at a rate well above the one that its service states, and entries sent it as many requests as it has free slots.

Change: services may state warmupS and warmupPerS, and rows of servers warmupLeftMs. lib/warmups deals the bound out to the entries; each entry counts its own starts and checks them when it reserves a server and again right before it sends. Cold servers without a share left count as `cold` in the log of refusals and in the metrics. Without warmupPerS, nothing is excluded.

Measured: go test -race passes for lib/placements, lib/routes, lib/processes, lib/timelines and cmd/entry/routed.

--- a/cmd/entry/routed/routed.go
+++ b/cmd/entry/routed/routed.go
@@ -129,7 +129,7 @@
 	entry.store = adapter.NewStore(settings.PlatformAddress, entry.metrics.Scope)
 	entry.quarantines = quarantines.New()
 	entry.reachability = platform.NewReachability(entry.store, storeProbeInterval)
-	entry.queue = gateways.NewAdmissionQueue(placements.NewFleet(settings.DataCentre), entry.notifyAgent)
+	entry.queue = gateways.NewAdmissionQueue(newFleet(settings), entry.notifyAgent)
 	entry.follower = entry.newFollower()
 	entry.agents.Store(&[]netip.AddrPort{})
 	entry.confirmServerList()
@@ -151,6 +151,12 @@
 	return entry.run(ctx)
 }
 
+func newFleet(settings processes.RoutedEntry) *placements.Fleet {
+	fleet := placements.NewFleet(settings.DataCentre)
+	fleet.SetWarmupTolerance(settings.WarmupTolerance)
+	return fleet
+}
+
 func (entry *entry) run(ctx context.Context) error {
 	runCtx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -234,9 +240,23 @@
 	entry.serversConfirmedAt.Store(&now)
 }
 
-// applyRoutes updates the fleet with the engine profiles of a new configuration.
+// applyRoutes updates the fleet with the engine profiles and the warm-ups of a new
+// configuration.
 func (entry *entry) applyRoutes(table routes.Table) {
-	entry.queue.UpdateFleet(func(fleet *placements.Fleet, _ time.Time) { fleet.SetEngineProfiles(engineProfiles(table)) })
+	var changes []placements.ColdChange
+	entry.queue.UpdateFleet(func(fleet *placements.Fleet, now time.Time) {
+		fleet.SetEngineProfiles(engineProfiles(table))
+		changes = fleet.SetWarmups(table.Warmups(), now)
+	})
+	for _, change := range changes {
+		entry.logCold(change)
+	}
+}
+
+// logCold logs that a server counts as cold.
+func (entry *entry) logCold(change placements.ColdChange) {
+	entry.logger.Info("server cold", zap.String("server", change.Server), zap.String("service", change.Service),
+		zap.Stringer("cause", change.Cause), zap.Time("until", change.Until), zap.Duration("for", time.Until(change.Until)))
 }
 
 // engineProfiles returns, by service, the profile from which the time until an
@@ -319,6 +339,8 @@
 			entry.logger.Info("server gone", append(fields, zap.String("reason", "not listed"))...)
 		case placements.Restarted:
 			entry.logger.Info("server restarted", append(fields, zap.Int64("born", change.Server.StartedUnixMilli), zap.String("heard_by", "the list"))...)
+		case placements.BecameCold:
+			entry.logCold(change.Cold)
 		case placements.Expired:
 			entry.logger.Info("server gone", append(fields, zap.String("reason", "not listed again in time"))...)
 		default:
@@ -423,6 +445,8 @@
 		entry.logger.Info("server leaving", zap.String("server", change.Server), zap.Duration("age", time.Since(change.Statement.HeardAt)), zap.String("heard_by", heardBy))
 	case placements.RestartChange:
 		entry.logger.Info("server restarted", zap.String("server", change.Server), zap.Int64("born", change.StartedUnixMilli), zap.String("heard_by", "its agent"))
+	case placements.ColdChange:
+		entry.logCold(change)
 	default:
 		entry.logger.Error("unknown change of a statement", zap.String("type", fmt.Sprintf("%T", change)))
 	}
--- a/lib/gateways/attempts.go
+++ b/lib/gateways/attempts.go
@@ -156,7 +156,11 @@
 	if request.isVersionDue(attempt.reservation.Server) {
 		return withdrawn{cause: causeVersionDue}
 	}
-	if err := attempt.conn.send(request.encode(attempt.reservation.Server, attempt.sentAt)); err != nil {
+	err := attempt.conn.send(request.encode(attempt.reservation.Server, attempt.sentAt))
+	if !errors.Is(err, errNotSent) {
+		request.gateway.Queue.recordSent(attempt.reservation)
+	}
+	if err != nil {
 		return request.classifyError(ctx, err)
 	}
 	return nil
@@ -274,6 +278,7 @@
 		request.log(eventNotReached, append(place, zap.Error(outcome.err))...)
 	case withdrawn:
 		request.log(eventWithdrawn, append(place, outcome.fields()...)...)
+		request.recordWithdrawn(server, outcome)
 	case notRun:
 		if outcome.misdirected {
 			request.misdirections++
--- a/lib/gateways/metrics.go
+++ b/lib/gateways/metrics.go
@@ -77,6 +77,14 @@
 	metrics.scope.Counter("limited_attempts").Inc(1)
 }
 
+// countKeptFromCold counts requests for the service that were kept away from cold servers.
+// Deployments without warm-ups have no such counter.
+func (metrics gatewayMetrics) countKeptFromCold(service string, number int64) {
+	if number > 0 {
+		metrics.scope.Tagged(map[string]string{"service": service}).Counter("kept_from_cold").Inc(number)
+	}
+}
+
 // countCutStream counts a stream that the gateway ended before its last event, although
 // its caller was still there.
 func (metrics gatewayMetrics) countCutStream() {
@@ -137,11 +145,12 @@
 	scope := gateway.Scope.Tagged(map[string]string{"service": service})
 	status := gateway.Queue.serviceStatus(service)
 	scope.Gauge("waiting").Update(float64(status.Waiting))
+	gateway.metrics.countKeptFromCold(service, gateway.Queue.takeKeptFromCold(service))
 	scope.Gauge("retries_left").Update(status.RetriesLeft)
 	candidates := status.Candidates
 	for state, count := range map[string]int{
 		"usable": candidates.Usable, "leaving": candidates.Leaving, "deferred": candidates.Deferred, "closed": candidates.Closed,
-		"full": candidates.Full, "limited": candidates.Limited,
+		"full": candidates.Full, "limited": candidates.Limited, "cold": candidates.Cold,
 	} {
 		scope.Tagged(map[string]string{"state": state}).Gauge("servers").Update(float64(count))
 	}
--- a/lib/gateways/request_log.go
+++ b/lib/gateways/request_log.go
@@ -83,7 +83,7 @@
 	return []zap.Field{
 		zap.Int("ahead", refusal.Ahead), zap.Duration("wait", refusal.Wait),
 		zap.Int("usable", candidates.Usable), zap.Int("leaving", candidates.Leaving), zap.Int("deferred", candidates.Deferred), zap.Int("closed", candidates.Closed), zap.Int("tried", candidates.Tried),
-		zap.Int("outdated", candidates.Outdated), zap.Int("full", candidates.Full), zap.Int("limited", candidates.Limited), zap.Int("slow", candidates.Slow),
+		zap.Int("outdated", candidates.Outdated), zap.Int("full", candidates.Full), zap.Int("limited", candidates.Limited), zap.Int("cold", candidates.Cold), zap.Int("slow", candidates.Slow),
 	}
 }
 
--- a/lib/gateways/retries.go
+++ b/lib/gateways/retries.go
@@ -36,7 +36,8 @@
 	// notSent means that no byte was sent to the server.
 	notSent struct{ err error }
 	// withdrawn means that nothing was sent, because the server stated at heardAt that it
-	// wants no requests, or because its version is due to be replaced, without a heardAt.
+	// wants no requests, because it is cold, of which this entry heard at heardAt, or because
+	// its version is due to be replaced, without a heardAt.
 	withdrawn struct {
 		cause   string
 		heardAt time.Time
--- a/lib/gateways/statements.go
+++ b/lib/gateways/statements.go
@@ -5,6 +5,7 @@
 // also holds for requests that were placed before, but were not sent yet.
 
 import (
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -21,6 +22,9 @@
 	eventNotBefore  = "server not before"
 	eventUnreadable = "statement of server not readable"
 	eventWithdrawn  = "request not sent"
+
+	// causeCold withdraws a request from a cold server that may get no more for now.
+	causeCold = "cold"
 )
 
 // LeavingStated means that the server stated that it leaves.
@@ -59,12 +63,25 @@
 	case placements.MaySendAfterRestart:
 		return withdrawn{cause: "leaving", heardAt: permission.HeardAt}, true
 	case placements.MaySendFrom:
+		if permission.Cause == placements.Cold {
+			return withdrawn{cause: causeCold, heardAt: permission.HeardAt}, true
+		}
 		return withdrawn{cause: "not_before", heardAt: permission.HeardAt}, true
 	default:
 		return withdrawn{}, false
 	}
 }
 
+// recordWithdrawn lets the request return to a cold server, which takes requests again
+// within a second.
+func (request *request) recordWithdrawn(server placements.Server, outcome withdrawn) {
+	if outcome.cause != causeCold {
+		return
+	}
+	request.gateway.metrics.countKeptFromCold(request.service, 1)
+	request.triedServers = slices.DeleteFunc(request.triedServers, func(id string) bool { return id == server.ID })
+}
+
 // fields returns log fields on why the request was not sent.
 func (outcome withdrawn) fields() []zap.Field {
 	fields := []zap.Field{zap.String("cause", outcome.cause)}
@@ -120,6 +137,25 @@
 	return queue.dispatcher.PermissionToSend(reservation, time.Now())
 }
 
+// recordSent records that the request was sent to the server for which the reservation
+// was made. It takes the lock only if the server's service has a warm-up.
+func (queue *AdmissionQueue) recordSent(reservation *placements.Reservation) {
+	if !reservation.IsCounted() {
+		return
+	}
+	queue.mutex.Lock()
+	defer queue.mutex.Unlock()
+	queue.dispatcher.RecordSent(reservation, time.Now())
+}
+
+// takeKeptFromCold returns how many requests were not placed on arrival since the last
+// call while cold servers took no more.
+func (queue *AdmissionQueue) takeKeptFromCold(service string) int64 {
+	queue.mutex.Lock()
+	defer queue.mutex.Unlock()
+	return queue.dispatcher.TakeKeptFromCold(service)
+}
+
 // retryAfter returns after which time a caller should retry whose request the servers
 // of the service did not run: the delay, or longer if all servers asked for no requests.
 func (queue *AdmissionQueue) retryAfter(service string, delay time.Duration) time.Duration {
--- a/lib/placements/availability.go
+++ b/lib/placements/availability.go
@@ -104,6 +104,8 @@
 	Deferred WaitCause = iota
 	// RejectedRecently servers rejected a request just now, since they were full.
 	RejectedRecently
+	// Cold servers got as many requests as this entry may send them for now.
+	Cold
 )
 
 func (LeavingChange) isStatementChange()       {}
@@ -196,6 +198,9 @@
 	if next == (Availability{}) {
 		return false
 	}
+	if next.startedUnixMilli > known.startedUnixMilli && known.startedUnixMilli != 0 {
+		fleet.recordNewStart(id, now)
+	}
 	if _, isListed := fleet.servers[id]; !isListed && next.forgetAt.IsZero() {
 		next = next.WithForgetAt(now.Add(availabilityMemory))
 	}
@@ -257,12 +262,16 @@
 }
 
 // PermissionToSend returns whether a request for which the server was chosen may still be
-// sent there. Only what the server itself has stated prevents that: a rejection of
-// another request says nothing about a slot that is reserved.
+// sent there. What the server itself has stated prevents that, but not a rejection of
+// another request, which says nothing about a slot that is reserved. The bound of a cold
+// server prevents it too.
 func (fleet *Fleet) PermissionToSend(id string, now time.Time) Permission {
 	permission := fleet.availability[id].Permission(now)
 	if wait, mustWait := permission.(MaySendFrom); mustWait && wait.Cause != Deferred {
-		return MaySend{}
+		permission = MaySend{}
+	}
+	if _, maySend := permission.(MaySend); maySend {
+		return fleet.warmupPermission(id, now)
 	}
 	return permission
 }
--- a/lib/placements/candidates.go
+++ b/lib/placements/candidates.go
@@ -3,7 +3,7 @@
 // This file finds out why a server is not a candidate for a request. A refusal logs
 // the counts, so that its cause can be read from the log alone: servers that are
 // unavailable, that leave, that asked for no requests for a time, that serve an old
-// version, that are full, that have stated a limit, or that would answer too late.
+// version, that are full, that have stated a limit, that are cold, or that would answer too late.
 
 import (
 	"slices"
@@ -22,6 +22,7 @@
 		Outdated int
 		Full     int
 		Limited  int
+		Cold     int
 		Slow     int
 	}
 
@@ -46,6 +47,8 @@
 	atCapacity
 	// atLimit means that the server has stated a limit and this entry's share is used.
 	atLimit
+	// cold means that the server is cold and this entry's share of its bound is used.
+	cold
 	// tooSlow means that the server would answer too late.
 	tooSlow
 )
@@ -73,6 +76,8 @@
 			counts.Full++
 		case atLimit:
 			counts.Limited++
+		case cold:
+			counts.Cold++
 		case tooSlow:
 			counts.Slow++
 		}
@@ -82,15 +87,15 @@
 
 // Servers returns the total number of servers.
 func (counts CandidateCounts) Servers() int {
-	return counts.Usable + counts.Leaving + counts.Deferred + counts.Closed + counts.Tried + counts.Outdated + counts.Full + counts.Limited + counts.Slow
+	return counts.Usable + counts.Leaving + counts.Deferred + counts.Closed + counts.Tried + counts.Outdated + counts.Full + counts.Limited + counts.Cold + counts.Slow
 }
 
 // IsStalled reports whether there are servers, but none can take requests at all, rather
-// than being full, limited or slow: they have restarted, load a version or are suspended. The
+// than being full, limited, cold or slow: they have restarted, load a version or are suspended. The
 // wait for such servers does not depend on the number of requests that wait. If all servers
 // leave, those that replace them may be listed soon.
 func (counts CandidateCounts) IsStalled() bool {
-	if counts.Usable+counts.Full+counts.Limited+counts.Slow > 0 {
+	if counts.Usable+counts.Full+counts.Limited+counts.Cold+counts.Slow > 0 {
 		return false
 	}
 	return counts.Closed+counts.Outdated > 0 || counts.Leaving > 0 && counts.Deferred == 0
@@ -121,6 +126,8 @@
 		return atCapacity, 0
 	case !fleet.isWithinLimit(state.Server.ID, now):
 		return atLimit, 0
+	case !fleet.isWithinWarmup(state.Server.ID, now):
+		return cold, 0
 	}
 	profile, isEngine := fleet.profiles[requirements.Service]
 	if !isEngine || requirements.Model == "" {
--- a/lib/placements/dispatcher.go
+++ b/lib/placements/dispatcher.go
@@ -53,6 +53,7 @@
 		Unlisted  bool
 		Limited   bool
 		Answered  bool
+		stage     warmupStage
 	}
 
 	// Decision is the result of admission. The variants are sealed.
@@ -115,9 +116,13 @@
 	service := waiter.Requirements.Service
 	ahead := dispatcher.queues[service].CountAhead(waiter)
 	if ahead == 0 {
+		exclusions := dispatcher.fleet.cold.exclusions
 		if reservation := dispatcher.reserve(waiter.Requirements, now); reservation != nil {
 			return Placed{Reservation: reservation}
 		}
+		if dispatcher.fleet.cold.exclusions > exclusions {
+			dispatcher.fleet.cold.keptAway[service]++
+		}
 	}
 	wait := dispatcher.expectedWait(waiter.Requirements, ahead, now)
 	if now.Add(wait).After(waiter.StartBy) || dispatcher.isExhausted(waiter.Requirements, now) {
@@ -227,6 +232,7 @@
 		Unlisted: choice.Unlisted, Limited: choice.Limited,
 	}
 	dispatcher.fleet.RecordStart(choice.Server.ID, requirements.Tokens, now)
+	reservation.stage = dispatcher.fleet.reserveStart(choice.Server.ID)
 	dispatcher.startRates[requirements.Service] = dispatcher.startRates[requirements.Service].WithStart(now)
 	return reservation
 }
@@ -275,6 +281,7 @@
 
 // Release ends a reservation with the outcome of its request.
 func (dispatcher *Dispatcher) Release(reservation *Reservation, outcome Outcome, now time.Time) {
+	reservation.stage = dispatcher.fleet.cancelStart(reservation.Server.ID, reservation.stage)
 	dispatcher.fleet.RecordEnd(reservation.Server.ID, outcome, now)
 }
 
@@ -309,9 +316,14 @@
 }
 
 // PermissionToSend returns whether the request may still be sent to the server for which
-// the reservation was made.
+// the reservation was made. With the permission, it counts as being sent until RecordSent
+// or Release.
 func (dispatcher *Dispatcher) PermissionToSend(reservation *Reservation, now time.Time) Permission {
-	return dispatcher.fleet.PermissionToSend(reservation.Server.ID, now)
+	permission := dispatcher.fleet.PermissionToSend(reservation.Server.ID, now)
+	if _, maySend := permission.(MaySend); maySend {
+		reservation.stage = dispatcher.fleet.beginSending(reservation.Server.ID, reservation.stage)
+	}
+	return permission
 }
 
 // RecordResponseTime records the time to the first event or answer of a request.
--- a/lib/placements/fleet.go
+++ b/lib/placements/fleet.go
@@ -77,11 +77,13 @@
 	// ChangeKind is the kind of a change to a server.
 	ChangeKind int
 
-	// Change is a change to a server. KeptUntil is set for missing servers.
+	// Change is a change to a server. KeptUntil is set for missing servers, Cold for cold
+	// ones.
 	Change struct {
 		Server    Server
 		Kind      ChangeKind
 		KeptUntil time.Time
+		Cold      ColdChange
 	}
 
 	// Fleet is what an entry knows of all backend servers. It is not safe for
@@ -108,6 +110,7 @@
 		// availability holds the facts about each server, listed or not, that allow or forbid
 		// requests.
 		availability map[string]Availability
+		cold         coldness
 	}
 )
 
@@ -129,6 +132,8 @@
 	// Restarted servers were started again under their id, which ended what they had
 	// stated.
 	Restarted
+	// BecameCold servers take only some requests a second for a time.
+	BecameCold
 )
 
 // NewFleet returns the fleet of an entry in the data centre.
@@ -140,6 +145,7 @@
 		departures:       map[string]departure{},
 		limits:           serverLimits{},
 		availability:     map[string]Availability{},
+		cold:             newColdness(),
 		byService:        map[string][]string{},
 		predictionErrors: map[string]time.Duration{},
 	}
@@ -177,6 +183,7 @@
 		if fleet.setAvailability(server.ID, fleet.availability[server.ID].WithStart(server.StartedUnixMilli), now) {
 			changes = append(changes, Change{Server: server, Kind: Restarted})
 		}
+		fleet.recordRow(server, !isKnown, now)
 	}
 	for id, state := range fleet.servers {
 		if listed[id] {
@@ -193,6 +200,10 @@
 		fleet.remove(state, now)
 	}
 	fleet.rebuildServiceIndex()
+	fleet.cold.isListed = true
+	for _, became := range fleet.takeColdChanges() {
+		changes = append(changes, Change{Server: fleet.servers[became.Server].Server, Kind: BecameCold, Cold: became})
+	}
 	return changes
 }
 
@@ -223,7 +234,9 @@
 
 // Expire removes the missing servers that are no longer in use and returns them.
 func (fleet *Fleet) Expire(now time.Time) []Change {
+	fleet.recordPresence(now)
 	fleet.forgetAvailability(now)
+	fleet.forgetWarmups(now)
 	var changes []Change
 	for _, state := range fleet.servers {
 		if !state.isMissing() || now.Before(state.keptUntil) {
@@ -263,6 +276,7 @@
 // ApplyReport applies the report of an agent, and returns what it changes about the
 // statements of servers.
 func (fleet *Fleet) ApplyReport(report Report, now time.Time) []StatementChange {
+	fleet.recordPresence(now)
 	var changes []StatementChange
 	if state, known := fleet.servers[report.Server]; known {
 		fleet.servers[report.Server] = state.WithReport(report, now)
@@ -272,9 +286,14 @@
 	}
 	if report.Entries.Count > 0 {
 		fleet.entries = report.Entries
+		fleet.recordEntries(report.Entries, now)
 	}
 	changes = append(changes, fleet.mergeLimits(report.Limits, now)...)
-	return append(changes, fleet.mergeLeaving(report.Leaving, now)...)
+	changes = append(changes, fleet.mergeLeaving(report.Leaving, now)...)
+	for _, became := range fleet.takeColdChanges() {
+		changes = append(changes, became)
+	}
+	return changes
 }
 
 // RecordStart records that a request with this many prompt tokens is sent to the
@@ -378,7 +397,7 @@
 func (fleet *Fleet) serversWithRoom(service string, overcommit int, now time.Time) []string {
 	var ids []string
 	for _, id := range fleet.byService[service] {
-		if state := fleet.servers[id]; !state.isUnavailable(now) && state.freeCapacity(overcommit, now) > 0 {
+		if state := fleet.servers[id]; !state.isUnavailable(now) && state.freeCapacity(overcommit, now) > 0 && fleet.isWithinWarmup(id, now) {
 			ids = append(ids, id)
 		}
 	}
@@ -395,6 +414,8 @@
 		state := fleet.servers[id]
 		exclusion, predicted := fleet.exclusion(state, requirements, overcommit, now)
 		switch {
+		case exclusion == cold:
+			fleet.cold.exclusions++
 		case exclusion != eligible:
 		case state.isMissing():
 			missing = append(missing, candidate{state: state, predicted: predicted})
--- a/lib/placements/limits.go
+++ b/lib/placements/limits.go
@@ -16,6 +16,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"firford/lib/waits"
+	"firford/lib/warmups"
 )
 
 const (
@@ -30,8 +31,6 @@
 	// minLimitChange is the fraction by which a limit must differ to count as changed. A
 	// server may state another number in each answer.
 	minLimitChange = 0.1
-	// assumedEntries is the number of entries that is assumed until an agent tells it.
-	assumedEntries = 16
 )
 
 type (
@@ -101,7 +100,7 @@
 // at about the same time, so their offsets differ.
 func (group EntryGroup) share(server string, perS float64) limitShare {
 	if group.Count <= 0 {
-		interval := seconds(assumedEntries / perS)
+		interval := seconds(warmups.AssumedEntries / perS)
 		return limitShare{interval: interval, offset: interval}
 	}
 	senders := min(group.Count, int(min(perS, float64(group.Count)))+spareSenders)
--- a/lib/placements/server_state.go
+++ b/lib/placements/server_state.go
@@ -39,7 +39,8 @@
 	// Versions holds the version of each model that it serves. Revision is that of its
 	// entry in the list: of two entries with one address, the one with the higher
 	// revision is the newer. StartedUnixMilli is when it was started, zero if unknown; a
-	// server may be started again under its id.
+	// server may be started again under its id. WarmupLeft is how long it stated to be cold
+	// when its entry was written.
 	Server struct {
 		ID         string
 		Service    string
@@ -51,6 +52,7 @@
 		Revision   int64
 
 		StartedUnixMilli int64
+		WarmupLeft       time.Duration
 	}
 
 	// Report is an agent's report of the server beside it. A different incarnation than in
--- a/lib/processes/routed.go
+++ b/lib/processes/routed.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"firford/lib/settings"
+	"firford/lib/warmups"
 )
 
 const (
@@ -27,6 +28,8 @@
 	maxLinkMbps              = 1_000_000
 	defaultMetricsPort       = 9310
 	maxPort                  = 65535
+	maxWarmupOverage         = 1000
+	maxWarmupSlack           = 1_000_000
 )
 
 type (
@@ -51,11 +54,13 @@
 	// RoutedEntry holds the settings of a routed entry. ReconnectTime is how long after
 	// the end of an outage or a partition it must know again what the store holds.
 	// ConfigurationTime is how long after its acknowledgement a configuration must be in
-	// force.
+	// force. WarmupTolerance is by how much cold servers may get more requests than the
+	// configuration states.
 	RoutedEntry struct {
 		Routed
 		ReconnectTime     time.Duration
 		ConfigurationTime time.Duration
+		WarmupTolerance   warmups.Tolerance
 		CallersAddress    string
 		AdminAddress      string
 	}
@@ -82,6 +87,7 @@
 		AdminAddress:      listen.Address("admin"),
 		ReconnectTime:     file.Section("limits").Duration("reconnect_time", defaultReconnectTime, time.Second, maxReconnectTime),
 		ConfigurationTime: file.Section("limits").Duration("configuration_time", defaultConfigurationTime, time.Second, maxConfigurationTime),
+		WarmupTolerance:   parseWarmupTolerance(file.Section("limits")),
 	}
 	return entry, file.Findings().Err()
 }
@@ -120,6 +126,14 @@
 	}
 }
 
+// parseWarmupTolerance parses the tolerance for cold servers, which is none by default.
+func parseWarmupTolerance(limits settings.Section) warmups.Tolerance {
+	return warmups.Tolerance{
+		Overage: limits.Number("warmup_overage", warmups.DefaultTolerance.Overage, 0, maxWarmupOverage),
+		Slack:   limits.Number("warmup_slack", warmups.DefaultTolerance.Slack, 0, maxWarmupSlack),
+	}
+}
+
 // parseRegions parses pairs of the form "data_centre:region", separated by
 // commas.
 func parseRegions(process settings.Section) map[string]string {
--- a/lib/routes/routes.go
+++ b/lib/routes/routes.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"firford/lib/warmups"
 )
 
 // The retry modes of a route.
@@ -68,7 +70,7 @@
 
 	// Service is a group of backend servers that answer the same requests. Engine
 	// is nil for a plain service. Origin is empty unless the service is an origin of
-	// weights.
+	// weights. Warmup bounds the requests of cold servers, which only entries count.
 	Service struct {
 		Name           string  `json:"name"`
 		HealthPath     string  `json:"health_path,omitempty"`
@@ -77,6 +79,8 @@
 		Origin         string  `json:"origin,omitempty"`
 		OriginZone     string  `json:"origin_zone,omitempty"`
 		OriginMbps     float64 `json:"origin_mbps,omitempty"`
+
+		Warmup warmups.Rule `json:"-"`
 	}
 
 	// Engine holds the published parameters of a model engine. Durations are in
@@ -187,6 +191,17 @@
 	return table.selectServices(func(service Service) bool { return service.Engine != nil })
 }
 
+// Warmups returns, by service, the rules that limit cold servers.
+func (table Table) Warmups() map[string]warmups.Rule {
+	rules := map[string]warmups.Rule{}
+	for name, service := range table.services {
+		if service.Warmup.IsLimited() {
+			rules[name] = service.Warmup
+		}
+	}
+	return rules
+}
+
 // EnginesAndOrigins returns the services that are model engines or origins.
 func (table Table) EnginesAndOrigins() []Service {
 	return table.selectServices(func(service Service) bool { return service.Engine != nil || service.Origin != "" })
--- a/lib/timelines/causes.go
+++ b/lib/timelines/causes.go
@@ -258,6 +258,7 @@
 	for _, counter := range []struct{ field, text string }{
 		{"full", "full"},
 		{"limited", "at the limit that they stated"},
+		{"cold", "cold, with their share of requests used"},
 		{"slow", "with too much to read before it"},
 		{"closed", "closed or changing version"},
 		{"leaving", "leaving"},
