--- a/lib/processes/routed_test.go
+++ b/lib/processes/routed_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/smartystreets/goconvey/convey"
+
+	"firford/lib/warmups"
 )
 
 const validRoutedAgentSettings = `[process]
@@ -111,3 +113,24 @@
 		}
 	})
 }
+
+// Guards against a tolerance for cold servers that is misread, and against an entry that
+// does not start without one, as the platform leaves the keys out where it has no values.
+func TestWarmupTolerance(t *testing.T) {
+	entry := func(limits string) (RoutedEntry, error) {
+		text := strings.Replace(validRoutedAgentSettings, "peer_port = 7700", "peer_port = 7700\ncallers = 10.1.0.4:80\nadmin = 10.1.0.4:81", 1)
+		return ReadRoutedEntry(writeSettings(t, text[:strings.Index(text, "[backend_server]")]+"[limits]\n"+limits))
+	}
+	convey.Convey("The tolerance is read, and none is the default", t, func() {
+		settings, err := entry("warmup_overage = 1.5\nwarmup_slack = 5\n")
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(settings.WarmupTolerance, convey.ShouldResemble, warmups.Tolerance{Overage: 1.5, Slack: 5})
+		settings, err = entry("")
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(settings.WarmupTolerance, convey.ShouldResemble, warmups.DefaultTolerance)
+		_, err = entry("warmup_overage = many\nwarmup_slack = -1\n")
+		convey.So(err, convey.ShouldNotBeNil)
+		convey.So(err.Error(), convey.ShouldContainSubstring, "warmup_overage")
+		convey.So(err.Error(), convey.ShouldContainSubstring, "warmup_slack")
+	})
+}
