--- a/lib/warmups/warmups_test.go
+++ b/lib/warmups/warmups_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/smartystreets/goconvey/convey"
 	"pgregory.net/rapid"
+
+	_ "firford/lib/fixedseed"
 )
 
 var start = time.Unix(1_800_000_000, 0)
