Let entries settle for longer, and encode requests before the last check

An entry had been frozen for 2 s between the check and the write of its requests while another one joined and settled.

Requests are encoded before they are checked.

--- a/lib/gateways/attempts.go
+++ b/lib/gateways/attempts.go
@@ -150,13 +150,16 @@
 	if verdict := request.checkQuarantine(); verdict.IsRefused() {
 		return quarantined{trait: verdict.Trait, retryAt: verdict.RetryAt}
 	}
+	// The request is encoded before the last checks, so that they still hold when it is
+	// written.
+	encoded := request.encode(attempt.reservation.Server, attempt.sentAt)
 	if outcome, isWithdrawn := request.withdrawal(attempt.reservation); isWithdrawn {
 		return outcome
 	}
 	if request.isVersionDue(attempt.reservation.Server) {
 		return withdrawn{cause: causeVersionDue}
 	}
-	err := attempt.conn.send(request.encode(attempt.reservation.Server, attempt.sentAt))
+	err := attempt.conn.send(encoded)
 	if !errors.Is(err, errNotSent) {
 		request.gateway.Queue.recordSent(attempt.reservation)
 	}
--- a/lib/warmups/warmups.go
+++ b/lib/warmups/warmups.go
@@ -33,9 +33,10 @@
 	maxGap = time.Second
 	// settleTime is how long an entry sends nothing to cold servers after its start and
 	// after it was frozen. All entries know of it by then: a report of an agent is at most
-	// 1.5 s old unless the agent is dead. What they sent before, and what the entry itself
-	// sent before its restart, is older than the window.
-	settleTime = 1500*time.Millisecond + Window
+	// 1.5 s old unless the agent is dead, or comes after a pause that is not noticed. What
+	// they sent before, and what the entry itself sent before its restart, is older than the
+	// window.
+	settleTime = maxGap + 1500*time.Millisecond + Window
 	// roundingError is larger than the error of multiplying a rate by the overage.
 	roundingError = 1e-9
 )
