--- a/cmd/entry/routed/evacuations.go
+++ b/cmd/entry/routed/evacuations.go
@@ -21,6 +21,9 @@
 	for _, dataCentre := range changes.Ended {
 		logger.Info("evacuation ended", zap.String("data_centre", dataCentre))
 	}
+	for _, change := range changes.Cold {
+		entry.logCold(change)
+	}
 	entry.metrics.Scope.Gauge("evacuated_data_centres").Update(float64(len(dataCentres)))
 	entry.loadListener.NotifyEvacuations()
 }
--- a/lib/gateways/attempts.go
+++ b/lib/gateways/attempts.go
@@ -150,13 +150,20 @@
 	if verdict := request.checkQuarantine(); verdict.IsRefused() {
 		return quarantined{trait: verdict.Trait, retryAt: verdict.RetryAt}
 	}
+	// The request is encoded before the last checks, so that they still hold when it is
+	// written.
+	encoded := request.encode(attempt.reservation.Server, attempt.sentAt)
 	if outcome, isWithdrawn := request.withdrawal(attempt.reservation); isWithdrawn {
 		return outcome
 	}
 	if request.isVersionDue(attempt.reservation.Server) {
 		return withdrawn{cause: causeVersionDue}
 	}
-	if err := attempt.conn.send(request.encode(attempt.reservation.Server, attempt.sentAt)); err != nil {
+	err := attempt.conn.send(encoded)
+	if !errors.Is(err, errNotSent) {
+		request.gateway.Queue.recordSent(attempt.reservation)
+	}
+	if err != nil {
 		return request.classifyError(ctx, err)
 	}
 	return nil
@@ -274,6 +281,7 @@
 		request.log(eventNotReached, append(place, zap.Error(outcome.err))...)
 	case withdrawn:
 		request.log(eventWithdrawn, append(place, outcome.fields()...)...)
+		request.recordWithdrawn(server, outcome)
 	case notRun:
 		if outcome.misdirected {
 			request.misdirections++
--- a/lib/placements/evacuations.go
+++ b/lib/placements/evacuations.go
@@ -10,33 +10,29 @@
 )
 
 type (
-	// EvacuationChanges are the data centres whose evacuation began or ended, sorted.
-	EvacuationChanges struct{ Began, Ended []string }
-
-	// evacuations are the evacuated data centres, sorted, and when those that were
-	// evacuated before were last released.
-	evacuations struct {
-		active  []string
-		endedAt map[string]time.Time
+	// EvacuationChanges are the data centres whose evacuation began or ended, sorted, and
+	// the servers of the latter that are cold now.
+	EvacuationChanges struct {
+		Began, Ended []string
+		Cold         []ColdChange
 	}
+
+	// evacuations are the evacuated data centres, sorted.
+	evacuations struct{ active []string }
 )
 
 func (known evacuations) isEmpty() bool { return len(known.active) == 0 }
 
-// SetEvacuations replaces the evacuated data centres and returns what changed.
+// SetEvacuations replaces the evacuated data centres and returns what changed. Servers that
+// got no requests for the time of an evacuation are cold after it.
 func (fleet *Fleet) SetEvacuations(dataCentres []string, now time.Time) EvacuationChanges {
 	known := fleet.evacuations
-	next := evacuations{active: slices.Sorted(slices.Values(dataCentres)), endedAt: map[string]time.Time{}}
+	next := evacuations{active: slices.Sorted(slices.Values(dataCentres))}
 	var changes EvacuationChanges
-	for dataCentre, at := range known.endedAt {
-		if !slices.Contains(next.active, dataCentre) {
-			next.endedAt[dataCentre] = at
-		}
-	}
 	for _, dataCentre := range known.active {
 		if !slices.Contains(next.active, dataCentre) {
-			next.endedAt[dataCentre] = now
 			changes.Ended = append(changes.Ended, dataCentre)
+			changes.Cold = append(changes.Cold, fleet.RecordReturn(dataCentre, now)...)
 		}
 	}
 	for _, dataCentre := range next.active {
@@ -48,13 +44,6 @@
 	return changes
 }
 
-// EvacuationEndedAt returns when the evacuation of the data centre ended, or false if it
-// was never evacuated or still is, as far as this entry knows.
-func (fleet *Fleet) EvacuationEndedAt(dataCentre string) (time.Time, bool) {
-	at, hasEnded := fleet.evacuations.endedAt[dataCentre]
-	return at, hasEnded
-}
-
 // isEvacuated reports whether the data centre of the server is evacuated.
 func (fleet *Fleet) isEvacuated(server Server) bool {
 	return slices.Contains(fleet.evacuations.active, server.DataCentre)
