Keep floors under the shares of starts by kind and organisation

Reservation and rank alone could leave a kind, an organisation or the longest prompts without any service in a long overload, and could serve a kind more often than a more urgent one.

The demand now counts arrivals and starts of the last 10 s by kind, by organisation and for the largest tenth of each kind. Requests below their floor (a quarter of the mean, half of the kind for large ones) bypass the reservation and go first. A kind that is started more often than a more urgent one, by more than 5 in 100, gets engines only that have nothing to read. Floors apply only where kinds of different rank use the service.

Tests replay loads above and below each floor.

--- a/cmd/bench/emulation/policies.go
+++ b/cmd/bench/emulation/policies.go
@@ -176,7 +176,7 @@
 	if policy.ignoresTargets {
 		return demands.Request{}
 	}
-	return demands.Request{Kind: request.kind.demandKind(), Organisation: request.organisation, Tokens: request.kind.promptTokens}
+	return demands.Request{Kind: request.kind.demandKind(), Rank: request.rank, Organisation: request.organisation, Tokens: request.kind.promptTokens}
 }
 
 func (policy *dispatcherPolicy) rank(request *request) routes.Rank {
--- a/lib/demands/demands.go
+++ b/lib/demands/demands.go
@@ -10,6 +10,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"firford/lib/routes"
 )
 
 const (
@@ -21,6 +23,9 @@
 	// minRequests is the number of requests from which shares are known: one request of
 	// fewer would be a share above minShare.
 	minRequests = 1 / minShare
+	// forgottenBelow is the number of remembered requests below which a kind, an
+	// organisation or a rank is forgotten.
+	forgottenBelow = 0.05
 )
 
 type (
@@ -35,6 +40,7 @@
 	// Request describes one request to the demand.
 	Request struct {
 		Kind         Kind
+		Rank         routes.Rank
 		Organisation string
 		Tokens       int
 	}
@@ -49,7 +55,9 @@
 	// Demand is the demand for one service. It is immutable; the zero value has seen no
 	// requests.
 	Demand struct {
-		kinds []kindDemand
+		kinds         []kindDemand
+		organisations []organisationDemand
+		ranks         []rankDemand
 	}
 
 	// kindDemand is the demand of one kind. arrivals decays by shareMemory.
@@ -58,6 +66,16 @@
 		arrivals count
 		// tokens is the smoothed length of the prompts.
 		tokens float64
+		// largeFrom is the length of a prompt from which a request counts as large.
+		largeFrom float64
+		// all counts all recent requests, and large the large ones.
+		all, large served
+	}
+
+	// organisationDemand is the demand of one organisation.
+	organisationDemand struct {
+		name   string
+		served served
 	}
 
 	// count is a number of events that decays exponentially.
@@ -75,26 +93,63 @@
 	if request.Kind.IsZero() {
 		return demand
 	}
-	demand, index := demand.withKind(request.Kind, now)
+	demand, index := demand.with(request, now)
 	demand.kinds[index] = demand.kinds[index].withArrival(request.Tokens, now)
+	owner := demand.organisation(request.Organisation)
+	owner.served = owner.served.withArrival(now)
+	rank := demand.rank(request.Rank)
+	rank.arrivals = rank.arrivals.plusOne(now, rateMemory)
 	return demand
 }
 
-// withKind returns a copy of the demand that knows the kind, without kinds that are not
-// requested any more, and the index of the kind.
-func (demand Demand) withKind(kind Kind, now time.Time) (Demand, int) {
-	kinds := make([]kindDemand, 0, len(demand.kinds)+1)
+// with returns a copy of the demand that knows the kind, the organisation and the rank of
+// the request, without those that are not requested any more, and the index of the kind.
+func (demand Demand) with(request Request, now time.Time) (Demand, int) {
+	var copied Demand
+	copied.kinds = make([]kindDemand, 0, len(demand.kinds)+1)
 	for _, each := range demand.kinds {
-		if each.kind == kind || !each.isForgotten(now) {
-			kinds = append(kinds, each)
+		if each.kind == request.Kind || each.arrivals.at(now, shareMemory) >= forgottenBelow {
+			copied.kinds = append(copied.kinds, each)
+		}
+	}
+	copied.organisations = make([]organisationDemand, 0, len(demand.organisations)+1)
+	for _, each := range demand.organisations {
+		if each.name == request.Organisation || each.served.arrived.at(now, floorMemory) >= forgottenBelow {
+			copied.organisations = append(copied.organisations, each)
 		}
 	}
-	index := slices.IndexFunc(kinds, func(each kindDemand) bool { return each.kind == kind })
+	copied.ranks = make([]rankDemand, 0, len(demand.ranks)+1)
+	for _, each := range demand.ranks {
+		if each.rank == request.Rank || each.arrivals.at(now, rateMemory) >= forgottenBelow {
+			copied.ranks = append(copied.ranks, each)
+		}
+	}
+	index := slices.IndexFunc(copied.kinds, func(each kindDemand) bool { return each.kind == request.Kind })
+	if index < 0 {
+		index = len(copied.kinds)
+		copied.kinds = append(copied.kinds, kindDemand{kind: request.Kind})
+	}
+	return copied, index
+}
+
+// organisation returns the organisation of a copied demand, which it adds if necessary.
+func (demand *Demand) organisation(name string) *organisationDemand {
+	index := slices.IndexFunc(demand.organisations, func(each organisationDemand) bool { return each.name == name })
 	if index < 0 {
-		index = len(kinds)
-		kinds = append(kinds, kindDemand{kind: kind})
+		index = len(demand.organisations)
+		demand.organisations = append(demand.organisations, organisationDemand{name: name})
 	}
-	return Demand{kinds: kinds}, index
+	return &demand.organisations[index]
+}
+
+// rank returns the rank of a copied demand, which it adds if necessary.
+func (demand *Demand) rank(rank routes.Rank) *rankDemand {
+	index := slices.IndexFunc(demand.ranks, func(each rankDemand) bool { return each.rank == rank })
+	if index < 0 {
+		index = len(demand.ranks)
+		demand.ranks = append(demand.ranks, rankDemand{rank: rank})
+	}
+	return &demand.ranks[index]
 }
 
 // Typical returns the typical requests of the kinds in use, the most urgent first. It
@@ -136,14 +191,14 @@
 	each.arrivals = each.arrivals.plusOne(now, shareMemory)
 	// The mean of all prompts so far at first, and a decaying one later.
 	each.tokens += (float64(tokens) - each.tokens) / each.arrivals.value
+	each.all = each.all.withArrival(now)
+	each = each.withLargeFrom(tokens)
+	if each.isLarge(tokens) {
+		each.large = each.large.withArrival(now)
+	}
 	return each
 }
 
-// isForgotten reports whether so little is left of the kind's arrivals that it can't count.
-func (each kindDemand) isForgotten(now time.Time) bool {
-	return each.arrivals.at(now, shareMemory) < minShare
-}
-
 // at returns the number of events within about the memory.
 func (number count) at(now time.Time, memory time.Duration) float64 {
 	if number.value == 0 {
--- a/lib/gateways/gateway.go
+++ b/lib/gateways/gateway.go
@@ -328,7 +328,7 @@
 
 // demand describes the request to the demand for its service.
 func (request *request) demand() demands.Request {
-	return demands.Request{Kind: request.kind(), Organisation: request.match.Organisation.Name, Tokens: request.info.PromptTokens}
+	return demands.Request{Kind: request.kind(), Rank: request.match.Rank(), Organisation: request.match.Organisation.Name, Tokens: request.info.PromptTokens}
 }
 
 // waiter describes the request to the admission queue.
--- a/lib/placements/dispatcher.go
+++ b/lib/placements/dispatcher.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"firford/lib/demands"
+	"firford/lib/routes"
 )
 
 const (
@@ -120,13 +121,14 @@
 // Admit places the request at once, queues it or refuses it.
 func (dispatcher *Dispatcher) Admit(waiter Waiter, now time.Time) Decision {
 	service := waiter.Requirements.Service
+	waiter = dispatcher.withFloors(waiter, now)
 	ahead := dispatcher.queues[service].CountAhead(waiter)
 	if !dispatcher.isBlocked(waiter, ahead) {
 		if reservation := dispatcher.reserve(waiter.Requirements, now); reservation != nil {
 			return Placed{Reservation: reservation}
 		}
 	}
-	wait := dispatcher.expectedWait(waiter.Requirements, ahead, now)
+	wait := dispatcher.expectedWait(waiter, ahead, now)
 	if now.Add(wait).After(waiter.StartBy) || dispatcher.isExhausted(waiter.Requirements, now) {
 		return dispatcher.newRefusal(waiter.Requirements, ahead, wait, now)
 	}
@@ -136,6 +138,23 @@
 	return Queued{Number: waiter.Number}
 }
 
+// withFloors returns the waiter with what the shares of starts of requests like it demand,
+// where kinds of different rank use the service: requests below their floor go first, and
+// kinds that are served more often than a more urgent one get idle engines only.
+func (dispatcher *Dispatcher) withFloors(waiter Waiter, now time.Time) Waiter {
+	requirements := &waiter.Requirements
+	if requirements.Kind.IsZero() || !dispatcher.fleet.hasRanks(requirements.Service) {
+		return waiter
+	}
+	demand := dispatcher.demands[requirements.Service]
+	requirements.BelowFloor = demand.IsBelowFloor(requirements.demand(), now)
+	requirements.IdleOnly = !requirements.BelowFloor && demand.IsAboveMoreUrgent(requirements.Kind, now)
+	if requirements.BelowFloor {
+		waiter.Rank = routes.Rank{}
+	}
+	return waiter
+}
+
 // isBlocked reports whether a request ahead of this one has to be placed before it. Those
 // for which the engines have no room while they are reserved for requests like this one do
 // not block it.
@@ -159,7 +178,8 @@
 // no server can take requests, the rate of recent starts says nothing about the rate
 // after that, and up to maxStalledQueue requests wait as long as they may. If all servers
 // asked for no requests until some time, nothing starts before the earliest of these.
-func (dispatcher *Dispatcher) expectedWait(requirements Requirements, ahead int, now time.Time) time.Duration {
+func (dispatcher *Dispatcher) expectedWait(waiter Waiter, ahead int, now time.Time) time.Duration {
+	requirements := waiter.Requirements
 	if ahead < maxStalledQueue && dispatcher.fleet.CountCandidates(requirements, overcommit(requirements), now).IsStalled() {
 		return 0
 	}
@@ -176,7 +196,7 @@
 	service := waiter.Requirements.Service
 	dispatcher.Remove(service, number)
 	waiting := len(dispatcher.queues[service].Waiters())
-	return dispatcher.newRefusal(waiter.Requirements, waiting, dispatcher.expectedWait(waiter.Requirements, waiting, now), now)
+	return dispatcher.newRefusal(waiter.Requirements, waiting, dispatcher.expectedWait(waiter, waiting, now), now)
 }
 
 // RefuseDeferred removes from the queue the requests that can't be placed by their
@@ -247,6 +267,9 @@
 		Unlisted: choice.Unlisted, Limited: choice.Limited,
 	}
 	dispatcher.fleet.RecordStart(choice.Server.ID, requirements.Tokens, now)
+	if len(requirements.Tried) == 0 {
+		dispatcher.demands[requirements.Service] = dispatcher.demands[requirements.Service].WithStart(requirements.demand(), now)
+	}
 	dispatcher.startRates[requirements.Service] = dispatcher.startRates[requirements.Service].WithStart(now)
 	return reservation
 }
--- a/lib/placements/fleet.go
+++ b/lib/placements/fleet.go
@@ -50,7 +50,8 @@
 	// FirstEventBy is the deadline of its first event; Late is set if that can no longer
 	// be met. Resumed is set for a stream of which the caller already has events. Kind is
 	// zero for a request that was accepted before. BelowFloor is set if requests of the kind
-	// or of the organisation are started too rarely.
+	// or of the organisation are started too rarely, and IdleOnly if those of the kind are
+	// started more often than more urgent ones.
 	Requirements struct {
 		Service      string
 		Model        string
@@ -59,6 +60,7 @@
 		Late         bool
 		Resumed      bool
 		BelowFloor   bool
+		IdleOnly     bool
 		Kind         demands.Kind
 		Organisation string
 		Tried        []string
--- a/lib/placements/reservations.go
+++ b/lib/placements/reservations.go
@@ -35,6 +35,9 @@
 	if pending <= 0 {
 		return true
 	}
+	if requirements.IdleOnly {
+		return false
+	}
 	const itselfAndNext = 2
 	waiting := state.load(now) + itselfAndNext - state.Server.Slots
 	margin := fleet.predictionErrors[requirements.Service]
@@ -59,6 +62,11 @@
 		slices.ContainsFunc(fleet.typical[requirements.Service], func(typical demands.Typical) bool { return typical.Kind == kind })
 }
 
+// demand describes the request to the demand for its service.
+func (requirements Requirements) demand() demands.Request {
+	return demands.Request{Kind: requirements.Kind, Organisation: requirements.Organisation, Tokens: requirements.Tokens}
+}
+
 // mayUseReserved reports whether the request may use what is reserved for others: requests
 // that were accepted before have no kind, and those below their floor have to be served.
 func (requirements Requirements) mayUseReserved() bool {
--- a/lib/placements/reservations_test.go
+++ b/lib/placements/reservations_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -34,6 +35,7 @@
 	}
 	dispatcher := NewDispatcher(fleetOf(servers...), random)
 	dispatcher.Fleet().SetEngineProfiles(rankedProfile)
+	dispatcher.startRates["pool"] = startRateOf(at(0), 200)
 	for request, count := range seen {
 		for range count {
 			dispatcher.CountRequest("pool", request, at(0))
@@ -68,7 +70,6 @@
 			urgentOrganisation := rankedWaiter(laxRequest, at(0))
 			urgentOrganisation.Rank.Organisation = 0
 			for range 2 * maxPlacementFailures {
-				dispatcher.startRates["pool"] = StartRate{starts: slicesOf(at(0), 40)}
 				convey.So(dispatcher.Admit(urgentOrganisation, at(0)), convey.ShouldHaveSameTypeAs, Queued{})
 			}
 			convey.So(dispatcher.Admit(rankedWaiter(strictRequest, at(0)), at(0)), convey.ShouldHaveSameTypeAs, Placed{})
@@ -89,12 +90,9 @@
 	})
 }
 
-func slicesOf(each time.Time, count int) []time.Time {
-	list := make([]time.Time, count)
-	for i := range list {
-		list[i] = each
-	}
-	return list
+// startRateOf returns the rate after this many starts at the time.
+func startRateOf(now time.Time, count int) StartRate {
+	return StartRate{starts: slices.Repeat([]time.Time{now}, count)}
 }
 
 // Guards against strict requests that wait behind a pass full of requests that are kept
@@ -159,3 +157,32 @@
 		}
 	})
 }
+
+// Guards against a lax kind that a reservation leaves without any service, and against one
+// that is served more often than a strict one of higher rank.
+func TestFloorsBypassTheReservation(t *testing.T) {
+	convey.Convey("Given an engine with room only for strict requests", t, func() {
+		const kept, taken = 3200, 1000
+		convey.Convey("Then a lax kind below its floor is placed there, ahead of others", func() {
+			dispatcher := rankedDispatcher(zeroRandom, []string{"a"}, map[demands.Request]int{strictRequest: 50, laxRequest: 50})
+			startAll(dispatcher, strictRequest, 50)
+			reportPending(dispatcher, "a", kept, at(0))
+			convey.So(dispatcher.Admit(rankedWaiter(laxRequest, at(0)), at(0)), convey.ShouldHaveSameTypeAs, Placed{})
+		})
+		convey.Convey("Then a lax kind that is served more often than the strict one gets idle engines only", func() {
+			dispatcher := rankedDispatcher(zeroRandom, []string{"a"}, map[demands.Request]int{strictRequest: 50, laxRequest: 50})
+			startAll(dispatcher, strictRequest, 30)
+			startAll(dispatcher, laxRequest, 45)
+			reportPending(dispatcher, "a", taken, at(0))
+			convey.So(dispatcher.Admit(rankedWaiter(laxRequest, at(0)), at(0)), convey.ShouldNotHaveSameTypeAs, Placed{})
+			reportPending(dispatcher, "a", 0, at(0))
+			convey.So(dispatcher.Dispatch("pool", at(0)), convey.ShouldHaveLength, 1)
+		})
+	})
+}
+
+func startAll(dispatcher *Dispatcher, request demands.Request, count int) {
+	for range count {
+		dispatcher.demands["pool"] = dispatcher.demands["pool"].WithStart(request, at(0))
+	}
+}
