Refuse on arrival what more urgent arrivals leave no time for

The expected wait counted the requests ahead in the queue only. In an overload a request of a low rank waited in vain, since more urgent ones kept arriving, and was refused after its wait.

Where kinds of different rank use a service, the expected wait now takes the rate of more urgent arrivals of the last second off the rate of starts. Requests below their floor and late ones are estimated as before.

--- a/lib/placements/dispatcher.go
+++ b/lib/placements/dispatcher.go
@@ -184,6 +184,10 @@
 		return 0
 	}
 	wait := dispatcher.startRates[requirements.Service].ExpectedWait(ahead, now)
+	if dispatcher.fleet.hasRanks(requirements.Service) && !requirements.mayUseReserved() && !waiter.Late {
+		startsPerS := dispatcher.startRates[requirements.Service].PerSecond(now)
+		wait = dispatcher.demands[requirements.Service].ExpectedWait(waiter.Rank, ahead, startsPerS, now)
+	}
 	if until, isDeferred := dispatcher.fleet.deferredUntil(requirements.Service, now); isDeferred {
 		return max(wait, until.Sub(now))
 	}
