State the rank of requests to engines, and count requests by rank

Engines order the prompts that they have to read by X-Request-Priority. Entries sent none, so that an engine couldn't tell urgent requests from others that it had accepted.

Refusals log the rank, and metrics count by rank what arrived, was started, was refused and was answered late.

--- a/lib/gateways/attempts.go
+++ b/lib/gateways/attempts.go
@@ -156,7 +156,7 @@
 	if request.isVersionDue(attempt.reservation.Server) {
 		return withdrawn{cause: causeVersionDue}
 	}
-	if err := attempt.conn.send(request.encode(attempt.reservation.Server, attempt.sentAt)); err != nil {
+	if err := attempt.conn.send(request.encode(attempt.reservation, attempt.sentAt)); err != nil {
 		return request.classifyError(ctx, err)
 	}
 	return nil
--- a/lib/gateways/dialect.go
+++ b/lib/gateways/dialect.go
@@ -34,12 +34,15 @@
 	}
 
 	// ForwardInfo holds what the gateway adds to the caller's own headers when it
-	// forwards a request. LastEventID replaces the caller's unless it is empty.
+	// forwards a request. LastEventID replaces the caller's unless it is empty. Rank is the
+	// rank of the route, which servers are told if HasRank is set.
 	ForwardInfo struct {
 		ServerID     string
 		Organisation string
 		LastEventID  string
 		Deadline     time.Time
+		HasRank      bool
+		Rank         int
 	}
 
 	// ResponseInfo holds what the headers of a server's answer state. IDs are the ids of the
--- a/lib/gateways/fakes_test.go
+++ b/lib/gateways/fakes_test.go
@@ -40,6 +40,9 @@
 	header.Del("Key")
 	header.Set("Server", forward.ServerID)
 	header.Set("Left", strconv.FormatInt(forward.Deadline.Sub(now).Milliseconds(), 10))
+	if forward.HasRank {
+		header.Set("Rank", strconv.Itoa(forward.Rank))
+	}
 	if forward.LastEventID != "" {
 		header.Set("After", forward.LastEventID)
 	}
--- a/lib/gateways/forward.go
+++ b/lib/gateways/forward.go
@@ -63,13 +63,15 @@
 	}
 }
 
-func (request *request) encode(server placements.Server, now time.Time) []byte {
+func (request *request) encode(reservation *placements.Reservation, now time.Time) []byte {
 	header := endToEndHeaders(request.received.Header)
 	request.gateway.Dialect.RewriteRequest(header, ForwardInfo{
-		ServerID:     server.ID,
+		ServerID:     reservation.Server.ID,
 		Organisation: request.match.Organisation.Name,
 		LastEventID:  request.lastEventID,
 		Deadline:     request.deadline,
+		HasRank:      reservation.Ranked,
+		Rank:         request.match.Route.Priority,
 	}, now)
 	return encodeRequest(request.received.Method, request.received.RequestURI, request.received.Host, header, request.body)
 }
@@ -110,6 +112,9 @@
 	attempt.beganAt = request.answerBeganAt
 	delay := request.answerBeganAt.Sub(attempt.sentAt)
 	gateway.metrics.firstEvent.RecordDuration(request.answerBeganAt.Sub(request.arrivedAt))
+	if !request.streaming && request.answerBeganAt.After(request.firstArrivedAt.Add(request.target())) {
+		request.countRanked(rankedLate)
+	}
 	gateway.metrics.recordPrediction(delay, reservation.Predicted)
 	gateway.Queue.recordAnswerStart(reservation, delay)
 	if head.response.StatusCode < http.StatusMultipleChoices && !head.info.Signed {
--- a/lib/gateways/gateway.go
+++ b/lib/gateways/gateway.go
@@ -267,6 +267,7 @@
 	ctx, cancel := context.WithDeadline(request.received.Context(), request.deadline.Add(answerMargin))
 	defer cancel()
 	request.gateway.Queue.countRequest(request.service, request.demand())
+	request.countRanked(rankedArrived)
 	request.identity = request.fingerprint()
 	request.traits = append(quarantines.Parts(request.info.SharedParts...), request.identity)
 	request.gateway.Quarantines.CountRequest(request.traits)
@@ -317,6 +318,11 @@
 	return true
 }
 
+// countRanked counts an event by the rank of the request's route.
+func (request *request) countRanked(event string) {
+	request.gateway.metrics.countRanked(event, request.match.Route.Priority)
+}
+
 // kind returns the kind of the request. Requests for plain services have none.
 func (request *request) kind() demands.Kind {
 	if request.info.Model == "" {
--- a/lib/gateways/metrics.go
+++ b/lib/gateways/metrics.go
@@ -11,8 +11,19 @@
 	"github.com/uber-go/tally/v4"
 )
 
-// gaugeInterval equals the interval at which metrics are reported.
-const gaugeInterval = time.Second
+const (
+	// gaugeInterval equals the interval at which metrics are reported.
+	gaugeInterval = time.Second
+	// maxRankLabel is the highest label of a rank.
+	maxRankLabel = 9
+
+	// The events that are counted by rank: requests of callers, reservations, refusals, and
+	// answers that began after the target.
+	rankedArrived = "arrived"
+	rankedStarted = "started"
+	rankedRefused = "refused"
+	rankedLate    = "late"
+)
 
 // gatewayMetrics holds the metrics of a gateway. Label values come from fixed sets,
 // which bounds the number of time series.
@@ -46,6 +57,13 @@
 	metrics.scope.Tagged(map[string]string{"status": strconv.Itoa(status), "reason": string(reason)}).Counter("requests").Inc(1)
 }
 
+// countRanked counts an event of requests by the rank of their route. Ranks beyond the
+// highest label share one, which bounds the number of time series.
+func (metrics gatewayMetrics) countRanked(event string, rank int) {
+	label := strconv.Itoa(min(max(0, rank), maxRankLabel))
+	metrics.scope.Tagged(map[string]string{"rank": label}).Counter("ranked_" + event).Inc(1)
+}
+
 // countSampledOut counts log lines of routine requests that were not written.
 func (metrics gatewayMetrics) countSampledOut() {
 	metrics.scope.Counter("log_lines_sampled_out").Inc(1)
@@ -141,7 +159,7 @@
 	candidates := status.Candidates
 	for state, count := range map[string]int{
 		"usable": candidates.Usable, "leaving": candidates.Leaving, "deferred": candidates.Deferred, "closed": candidates.Closed,
-		"full": candidates.Full, "limited": candidates.Limited,
+		"full": candidates.Full, "limited": candidates.Limited, "outranked": candidates.Outranked,
 	} {
 		scope.Tagged(map[string]string{"state": state}).Gauge("servers").Update(float64(count))
 	}
--- a/lib/gateways/request_log.go
+++ b/lib/gateways/request_log.go
@@ -72,6 +72,7 @@
 		fields = append(fields, zap.Stringer("fingerprint", request.identity))
 	}
 	if request.refusal != nil {
+		fields = append(fields, zap.Int("rank", request.match.Route.Priority))
 		fields = append(fields, request.refusal.fields()...)
 	}
 	request.log(eventEnded, fields...)
--- a/lib/gateways/retries.go
+++ b/lib/gateways/retries.go
@@ -123,6 +123,9 @@
 		metrics.countUnlistedAttempt()
 	}
 	metrics.placementWait.RecordDuration(request.placedAt.Sub(request.arrivedAt))
+	if len(request.triedServers) == 0 {
+		request.countRanked(rankedStarted)
+	}
 	request.triedServers = append(request.triedServers, reservation.Server.ID)
 }
 
@@ -184,6 +187,7 @@
 	}
 	switch {
 	case refusal != nil && !request.mayHaveRun && !request.streaming:
+		request.countRanked(rankedRefused)
 		request.refuse(refusal.reason, refusal.RetryAfter)
 	case errors.Is(err, context.Canceled):
 		request.endDisconnected()
--- a/lib/placements/dispatcher.go
+++ b/lib/placements/dispatcher.go
@@ -51,6 +51,7 @@
 	// Reservation is the capacity of a server that is reserved for one request.
 	// Predicted is the expected time to its first event, zero if unknown. Unlisted is set
 	// if the server is missing from the platform's list, and Limited if it stated a limit.
+	// Ranked is set if kinds of different rank use the service.
 	// Each reservation has to be ended with Release.
 	Reservation struct {
 		Server    Server
@@ -59,6 +60,7 @@
 		Predicted time.Duration
 		Unlisted  bool
 		Limited   bool
+		Ranked    bool
 		Answered  bool
 	}
 
@@ -268,7 +270,7 @@
 	dispatcher.lastNumber++
 	reservation := &Reservation{
 		Server: choice.Server, Number: dispatcher.lastNumber, Tokens: requirements.Tokens, Predicted: choice.Predicted,
-		Unlisted: choice.Unlisted, Limited: choice.Limited,
+		Unlisted: choice.Unlisted, Limited: choice.Limited, Ranked: dispatcher.fleet.hasRanks(requirements.Service),
 	}
 	dispatcher.fleet.RecordStart(choice.Server.ID, requirements.Tokens, now)
 	if len(requirements.Tried) == 0 {
