--- a/cmd/bench/emulation/patterns.go
+++ b/cmd/bench/emulation/patterns.go
@@ -56,6 +56,9 @@
 		firstEntryShare float64
 		// site replaces the usual site, nil for none.
 		site *site
+		// entriesLostAt is from when no request reaches a third of the entries, zero for
+		// never.
+		entriesLostAt time.Duration
 		// scheduleFaults schedules crashes, version changes or slow engines.
 		scheduleFaults func(simulation *simulation)
 	}
--- a/cmd/bench/emulation/policies.go
+++ b/cmd/bench/emulation/policies.go
@@ -51,6 +51,10 @@
 		// ignoresRanks orders requests by their deadlines alone, and ignoresTargets reserves
 		// no engines for strict targets.
 		ignoresRanks, ignoresTargets bool
+		// shedsAtRandom refuses the part of all requests that exceeds the capacity of a
+		// ranked site, by the rate of arrivals.
+		shedsAtRandom bool
+		arrivals      placements.StartRate
 		// refusesLate refuses requests that can't meet their target any more.
 		refusesLate bool
 	}
@@ -91,6 +95,11 @@
 			policy.ignoresRanks, policy.ignoresTargets = true, true
 			return policy
 		}},
+		{"random_shedding", func(simulation *simulation, _ int) policy {
+			policy := newDispatcherPolicy(simulation, true)
+			policy.ignoresRanks, policy.ignoresTargets, policy.shedsAtRandom = true, true, true
+			return policy
+		}},
 		{"rank_only", func(simulation *simulation, _ int) policy {
 			policy := newDispatcherPolicy(simulation, true)
 			policy.ignoresTargets = true
@@ -144,6 +153,10 @@
 		refuse(time.Second)
 		return
 	}
+	if policy.shedsAtRandom && policy.exceedsCapacity(now) {
+		refuse(time.Second)
+		return
+	}
 	demand := policy.demand(request)
 	if request.attempts == 0 {
 		policy.dispatcher.CountRequest(service, demand, now)
@@ -171,6 +184,13 @@
 	}
 }
 
+// exceedsCapacity reports whether random shedding refuses a request that arrives now.
+func (policy *dispatcherPolicy) exceedsCapacity(now time.Time) bool {
+	policy.arrivals = policy.arrivals.WithStart(now)
+	capacity := servedPerS / float64(len(policy.simulation.entries)-policy.simulation.lostEntries())
+	return policy.simulation.random.Float64() >= capacity/policy.arrivals.PerSecond(now)
+}
+
 // demand describes the request to the dispatcher.
 func (policy *dispatcherPolicy) demand(request *request) demands.Request {
 	if policy.ignoresTargets {
--- a/cmd/bench/emulation/ranks.go
+++ b/cmd/bench/emulation/ranks.go
@@ -16,6 +16,12 @@
 	urgentCount       = 4
 	// burstStart is when a burst begins. The entries know the demand by then.
 	burstStart = 10 * time.Second
+	// silence is how long almost no request arrives in a pattern, and stormTime how long all that
+	// were held back take to arrive after that.
+	silence   = 2 * time.Second
+	stormTime = time.Second
+	// servedPerS is the number of requests a second that the site can serve.
+	servedPerS = 420.0
 )
 
 // rankedKinds returns the three kinds with their share of the usual rate.
@@ -45,10 +51,35 @@
 		{name: "ranked_steady", relativeRate: constantRate(1), site: rankedSite(0, 1, 0)},
 		{name: "ranked_burst_third", relativeRate: constantRate(1), site: rankedSite(2, 2.5, 6*time.Second)},
 		{name: "ranked_burst_first", relativeRate: constantRate(1), site: rankedSite(0, 1.8, 3*time.Second)},
+		{name: "ranked_entries_lost", relativeRate: constantRate(1), site: rankedSite(2, 2.5, 6*time.Second), entriesLostAt: burstStart + 3*time.Second},
+		{name: "ranked_silence", relativeRate: rateAroundSilence, site: rankedSite(0, 1, 0)},
 	}
 }
 
-// sum returns the sum of the kinds' shares.
+// rateAroundSilence returns a rate that is almost zero for a while, after which the missing
+// requests arrive in addition to the usual ones.
+func rateAroundSilence(elapsed time.Duration) float64 {
+	const barely = 0.01 // The next arrival is scheduled at this rate, so it must not be far.
+	switch since := elapsed - burstStart; {
+	case since < 0 || since >= silence+stormTime:
+		return 1
+	case since < silence:
+		return barely
+	default:
+		return 1 + silence.Seconds()/stormTime.Seconds()
+	}
+}
+
+// lostEntries returns the number of entries that no request reaches any more.
+func (simulation *simulation) lostEntries() int {
+	lostAt := simulation.pattern.entriesLostAt
+	if lostAt == 0 || simulation.clock.now.Before(startTime.Add(lostAt)) {
+		return 0
+	}
+	return len(simulation.entries) / 3
+}
+
+// sumShares returns the sum of the kinds' shares.
 func sumShares(kinds []requestKind) float64 {
 	sum := 0.0
 	for _, kind := range kinds {
--- a/cmd/bench/emulation/simulation.go
+++ b/cmd/bench/emulation/simulation.go
@@ -188,7 +188,7 @@
 func (simulation *simulation) sendToEntry(request *request) {
 	request.attempts = 0
 	request.triedServers = nil
-	request.entry = simulation.entries[simulation.random.IntN(len(simulation.entries))]
+	request.entry = simulation.entries[simulation.random.IntN(len(simulation.entries)-simulation.lostEntries())]
 	if simulation.random.Float64() < simulation.pattern.firstEntryShare {
 		request.entry = simulation.entries[0]
 	}
--- a/lib/gateways/metrics.go
+++ b/lib/gateways/metrics.go
@@ -159,7 +159,7 @@
 	candidates := status.Candidates
 	for state, count := range map[string]int{
 		"usable": candidates.Usable, "leaving": candidates.Leaving, "deferred": candidates.Deferred, "closed": candidates.Closed,
-		"full": candidates.Full, "limited": candidates.Limited, "outranked": candidates.Outranked,
+		"full": candidates.Full, "limited": candidates.Limited,
 	} {
 		scope.Tagged(map[string]string{"state": state}).Gauge("servers").Update(float64(count))
 	}
