--- a/lib/gateways/attempts.go
+++ b/lib/gateways/attempts.go
@@ -152,7 +152,7 @@
 	}
 	// The request is encoded before the last checks, so that they still hold when it is
 	// written.
-	encoded := request.encode(attempt.reservation.Server, attempt.sentAt)
+	encoded := request.encode(attempt.reservation, attempt.sentAt)
 	if outcome, isWithdrawn := request.withdrawal(attempt.reservation); isWithdrawn {
 		return outcome
 	}
--- a/lib/gateways/gateway.go
+++ b/lib/gateways/gateway.go
@@ -269,6 +269,7 @@
 	ctx, cancel := context.WithDeadline(request.received.Context(), request.deadline.Add(answerMargin))
 	defer cancel()
 	request.gateway.Queue.countRequest(request.service, request.demand())
+	request.countRanked(rankedArrived)
 	request.identity = request.fingerprint()
 	request.traits = append(quarantines.Parts(request.info.SharedParts...), request.identity)
 	request.gateway.Quarantines.CountRequest(request.traits)
@@ -319,6 +320,11 @@
 	return true
 }
 
+// countRanked counts an event by the rank of the request's route.
+func (request *request) countRanked(event string) {
+	request.gateway.metrics.countRanked(event, request.match.Route.Priority)
+}
+
 // kind returns the kind of the request. Requests for plain services have none.
 func (request *request) kind() demands.Kind {
 	if request.info.Model == "" {
@@ -330,7 +336,7 @@
 
 // demand describes the request to the demand for its service.
 func (request *request) demand() demands.Request {
-	return demands.Request{Kind: request.kind(), Organisation: request.match.Organisation.Name, Tokens: request.info.PromptTokens}
+	return demands.Request{Kind: request.kind(), Rank: request.match.Rank(), Organisation: request.match.Organisation.Name, Tokens: request.info.PromptTokens}
 }
 
 // waiter describes the request to the admission queue.
--- a/lib/placements/dispatcher.go
+++ b/lib/placements/dispatcher.go
@@ -11,6 +11,7 @@
 
 	"firford/lib/demands"
 	"firford/lib/regions"
+	"firford/lib/routes"
 	"firford/lib/shares"
 )
 
@@ -53,8 +54,9 @@
 	// Reservation is the capacity of a server that is reserved for one request.
 	// Predicted is the expected time to its first event, zero if unknown. Unlisted is set
 	// if the server is missing from the platform's list, and Limited if it stated a limit.
-	// Pace is what the server stated in its answer, in percent, zero if it did not. Each
-	// reservation has to be ended with Release.
+	// Pace is what the server stated in its answer, in percent, zero if it did not. Ranked
+	// is set if kinds of different rank use the service. Each reservation has to be ended
+	// with Release.
 	Reservation struct {
 		Server    Server
 		Number    uint64
@@ -62,6 +64,7 @@
 		Predicted time.Duration
 		Unlisted  bool
 		Limited   bool
+		Ranked    bool
 		Answered  bool
 		Pace      int
 		stage     warmupStage
@@ -153,6 +156,7 @@
 		return refused
 	}
 	service := waiter.Requirements.Service
+	waiter = dispatcher.withFloors(waiter, now)
 	ahead := dispatcher.queues[service].CountAhead(waiter)
 	if !dispatcher.isBlocked(waiter, ahead) {
 		exclusions := dispatcher.fleet.cold.exclusions
@@ -163,7 +167,7 @@
 			dispatcher.fleet.cold.keptAway[service]++
 		}
 	}
-	wait := dispatcher.expectedWait(waiter.Requirements, ahead, now)
+	wait := dispatcher.expectedWait(waiter, ahead, now)
 	if now.Add(wait).After(waiter.StartBy) || dispatcher.isExhausted(waiter.Requirements, now) {
 		return dispatcher.newRefusal(waiter.Requirements, ahead, wait, now)
 	}
@@ -173,6 +177,23 @@
 	return Queued{Number: waiter.Number}
 }
 
+// withFloors returns the waiter with what the shares of starts of requests like it demand,
+// where kinds of different rank use the service: requests below their floor go first, and
+// kinds that are served more often than a more urgent one get idle engines only.
+func (dispatcher *Dispatcher) withFloors(waiter Waiter, now time.Time) Waiter {
+	requirements := &waiter.Requirements
+	if requirements.Kind.IsZero() || !dispatcher.fleet.hasRanks(requirements.Service) {
+		return waiter
+	}
+	demand := dispatcher.demands[requirements.Service]
+	requirements.BelowFloor = demand.IsBelowFloor(requirements.demand(), now)
+	requirements.IdleOnly = !requirements.BelowFloor && demand.IsAboveMoreUrgent(requirements.Kind, now)
+	if requirements.BelowFloor {
+		waiter.Rank = routes.Rank{}
+	}
+	return waiter
+}
+
 // isBlocked reports whether a request ahead of this one has to be placed before it. Those
 // for which the engines have no room while they are reserved for requests like this one do
 // not block it.
@@ -196,11 +217,16 @@
 // no server can take requests, the rate of recent starts says nothing about the rate
 // after that, and up to maxStalledQueue requests wait as long as they may. If all servers
 // asked for no requests until some time, nothing starts before the earliest of these.
-func (dispatcher *Dispatcher) expectedWait(requirements Requirements, ahead int, now time.Time) time.Duration {
+func (dispatcher *Dispatcher) expectedWait(waiter Waiter, ahead int, now time.Time) time.Duration {
+	requirements := waiter.Requirements
 	if ahead < maxStalledQueue && dispatcher.fleet.CountCandidates(requirements, overcommit(requirements), now).IsStalled() {
 		return 0
 	}
 	wait := dispatcher.startRates[requirements.Service].ExpectedWait(ahead, now)
+	if dispatcher.fleet.hasRanks(requirements.Service) && !requirements.mayUseReserved() && !waiter.Late {
+		startsPerS := dispatcher.startRates[requirements.Service].PerSecond(now)
+		wait = dispatcher.demands[requirements.Service].ExpectedWait(waiter.Rank, ahead, startsPerS, now)
+	}
 	if until, isDeferred := dispatcher.fleet.deferredUntil(requirements, now); isDeferred {
 		return max(wait, until.Sub(now))
 	}
@@ -213,7 +239,7 @@
 	service := waiter.Requirements.Service
 	dispatcher.Remove(service, number)
 	waiting := len(dispatcher.queues[service].Waiters())
-	return dispatcher.newRefusal(waiter.Requirements, waiting, dispatcher.expectedWait(waiter.Requirements, waiting, now), now)
+	return dispatcher.newRefusal(waiter.Requirements, waiting, dispatcher.expectedWait(waiter, waiting, now), now)
 }
 
 // RefuseDeferred removes from the queue the requests that can't be placed by their
@@ -279,10 +305,13 @@
 	dispatcher.lastNumber++
 	reservation := &Reservation{
 		Server: choice.Server, Number: dispatcher.lastNumber, Tokens: requirements.Tokens, Predicted: choice.Predicted,
-		Unlisted: choice.Unlisted, Limited: choice.Limited,
+		Unlisted: choice.Unlisted, Limited: choice.Limited, Ranked: dispatcher.fleet.hasRanks(requirements.Service),
 	}
 	dispatcher.fleet.RecordStart(choice.Server.ID, requirements.Tokens, now)
 	reservation.stage = dispatcher.fleet.reserveStart(choice.Server.ID)
+	if len(requirements.Tried) == 0 {
+		dispatcher.demands[requirements.Service] = dispatcher.demands[requirements.Service].WithStart(requirements.demand(), now)
+	}
 	dispatcher.startRates[requirements.Service] = dispatcher.startRates[requirements.Service].WithStart(now)
 	return reservation
 }
--- a/lib/placements/evacuations_test.go
+++ b/lib/placements/evacuations_test.go
@@ -44,12 +44,14 @@
 			convey.So(refusals[0].Refused.Cause, convey.ShouldEqual, AllEvacuated)
 			convey.So(dispatcher.Admit(anywhere, at(time.Second)).(Refused).Cause, convey.ShouldEqual, AllEvacuated)
 		})
-		convey.Convey("When it ends, the data centre is used again, and its servers are cold", func() {
+		convey.Convey("When it ends, the data centre is used again", func() {
+			convey.So(fleet.SetEvacuations(nil, at(time.Second)).Ended, convey.ShouldResemble, []string{"north-1"})
+			convey.So(dispatcher.PermissionToSend(reserved, regions.Set{}, at(time.Second)), convey.ShouldResemble, MaySend{})
+		})
+		convey.Convey("When it ends and the service has a warm-up, the servers there are cold", func() {
 			fleet.SetWarmups(map[string]warmups.Rule{"desk": {PerS: 32, Lasts: 3 * time.Second}}, at(0))
 			changes := fleet.SetEvacuations(nil, at(time.Second))
-			convey.So(changes.Ended, convey.ShouldResemble, []string{"north-1"})
 			convey.So(changes.Cold, convey.ShouldResemble, []ColdChange{{Server: "a", Service: "desk", Cause: ColdByReturn, Until: at(4 * time.Second)}})
-			convey.So(dispatcher.PermissionToSend(reserved, regions.Set{}, at(time.Second)), convey.ShouldResemble, MaySend{})
 		})
 	})
 }
