--- a/lib/gateways/fakes_test.go
+++ b/lib/gateways/fakes_test.go
@@ -55,6 +55,7 @@
 	if wait, err := strconv.Atoi(header.Get("Not-Before")); err == nil {
 		info.NotBefore = now.Add(time.Duration(wait) * time.Millisecond)
 	}
+	_, _ = fmt.Sscanf(header.Get("Load"), "%d,%d,%d,%d", &info.Load.Running, &info.Load.Waiting, &info.Load.Slots, &info.Load.Pace)
 	return info
 }
 
--- a/lib/placements/uneven_load_test.go
+++ b/lib/placements/uneven_load_test.go
@@ -82,8 +82,8 @@
 	}
 
 	unevenSimulation struct {
-		policy  unevenPolicy
-		fault   simulatedFault
+		policy unevenPolicy
+		fault  simulatedFault
 		// arrivals, slowness, decisions and faults are separate sources, so that runs with
 		// different policies and faults have the same requests and slow hosts.
 		arrivals, slowness, decisions, faults *rand.Rand
