--- a/lib/placements/dispatcher.go
+++ b/lib/placements/dispatcher.go
@@ -67,7 +67,10 @@
 		Ranked    bool
 		Answered  bool
 		Pace      int
-		stage     warmupStage
+		// UsualTime and PaceFactor are those of the choice.
+		UsualTime  time.Duration
+		PaceFactor float64
+		stage      warmupStage
 	}
 
 	// Decision is the result of admission. The variants are sealed.
@@ -306,6 +309,7 @@
 	reservation := &Reservation{
 		Server: choice.Server, Number: dispatcher.lastNumber, Tokens: requirements.Tokens, Predicted: choice.Predicted,
 		Unlisted: choice.Unlisted, Limited: choice.Limited, Ranked: dispatcher.fleet.hasRanks(requirements.Service),
+		UsualTime: choice.UsualTime, PaceFactor: choice.PaceFactor,
 	}
 	dispatcher.fleet.RecordStart(choice.Server.ID, requirements.Tokens, now)
 	reservation.stage = dispatcher.fleet.reserveStart(choice.Server.ID)
@@ -415,6 +419,7 @@
 func (dispatcher *Dispatcher) RecordResponseTime(reservation *Reservation, after time.Duration) {
 	dispatcher.fleet.RecordResponseTime(reservation.Server.ID, after)
 	if reservation.Predicted > 0 {
+		dispatcher.fleet.recordPaceTrust(reservation, after)
 		dispatcher.fleet.RecordPrediction(reservation.Server.Service, reservation.Predicted, after)
 	}
 }
