Let requests with strict targets wait by rank and prediction

Two estimates were wrong: all more urgent arrivals counted, also those that were refused themselves, and the time to wait came from the mean response time of all kinds, which left a target of 400 ms nothing. Ruled out: the organisations' precedence; the large ones have the later priority, and the inversion was within each of them. Change: more urgent requests count as far as they were started and not late, and the wait lasts as long as an engine without prompts would still answer in time.

--- a/cmd/bench/emulation/policies.go
+++ b/cmd/bench/emulation/policies.go
@@ -144,7 +144,7 @@
 	now := policy.simulation.clock.now
 	startBy, late := policy.dispatcher.Fleet().PlacementDeadline(placements.Urgency{
 		FirstArrivedAt: request.arrived, FirstEventTarget: request.kind.firstEventTarget, EventGap: request.kind.maxEventGap, Deadline: request.deadline,
-		Resumed: request.eventCount > 0, Attempted: request.attempts > 0,
+		Tokens: request.kind.promptTokens, Resumed: request.eventCount > 0, Attempted: request.attempts > 0,
 	}, service, now)
 	if policy.waitsUntilDeadline {
 		startBy = request.deadline
@@ -164,7 +164,7 @@
 	waiter := placements.Waiter{Rank: policy.rank(request), Late: late, StartBy: startBy, Requirements: placements.Requirements{
 		Service: service, Model: model, Tokens: request.kind.promptTokens, FirstEventBy: request.arrived.Add(request.kind.firstEventTarget),
 		Late: late || policy.waitsUntilDeadline, Resumed: request.eventCount > 0, Tried: request.triedServers,
-		Kind: demand.Kind, Organisation: demand.Organisation,
+		Kind: demand.Kind, Rank: policy.rank(request), Organisation: demand.Organisation,
 	}}
 	switch decision := policy.dispatcher.Admit(waiter, now).(type) {
 	case placements.Placed:
--- a/lib/demands/demands.go
+++ b/lib/demands/demands.go
@@ -41,6 +41,7 @@
 	Request struct {
 		Kind         Kind
 		Rank         routes.Rank
+		Late         bool
 		Organisation string
 		Tokens       int
 	}
@@ -97,8 +98,6 @@
 	demand.kinds[index] = demand.kinds[index].withArrival(request.Tokens, now)
 	owner := demand.organisation(request.Organisation)
 	owner.served = owner.served.withArrival(now)
-	rank := demand.rank(request.Rank)
-	rank.arrivals = rank.arrivals.plusOne(now, rateMemory)
 	return demand
 }
 
@@ -120,7 +119,7 @@
 	}
 	copied.ranks = make([]rankDemand, 0, len(demand.ranks)+1)
 	for _, each := range demand.ranks {
-		if each.rank == request.Rank || each.arrivals.at(now, rateMemory) >= forgottenBelow {
+		if each.rank == request.Rank || each.starts.at(now, rateMemory) >= forgottenBelow {
 			copied.ranks = append(copied.ranks, each)
 		}
 	}
--- a/lib/demands/floors.go
+++ b/lib/demands/floors.go
@@ -73,6 +73,10 @@
 	}
 	owner := demand.organisation(request.Organisation)
 	owner.served = owner.served.withStart(now)
+	if !request.Late {
+		rank := demand.rank(request.Rank)
+		rank.starts = rank.starts.plusOne(now, rateMemory)
+	}
 	return demand
 }
 
--- a/lib/demands/waits.go
+++ b/lib/demands/waits.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	// rateMemory is the time over which arrivals by rank are counted. Bursts last some
+	// rateMemory is the time over which starts by rank are counted. Bursts last some
 	// seconds.
 	rateMemory = time.Second
 	// maxExpectedWait stands for every longer wait. Bursts last some seconds, so that later
@@ -18,29 +18,29 @@
 	maxExpectedWait = 5 * time.Second
 )
 
-// rankDemand is the arrivals of one rank. They decay by rateMemory.
+// rankDemand is the starts of one rank. They decay by rateMemory.
 type rankDemand struct {
-	rank     routes.Rank
-	arrivals count
+	rank   routes.Rank
+	starts count
 }
 
-// ArrivalsBefore returns the recent arrivals a second of requests that are more urgent than
-// the rank.
-func (demand Demand) ArrivalsBefore(rank routes.Rank, now time.Time) float64 {
+// StartsBefore returns the recent starts a second of requests that are more urgent than the
+// rank. Their arrivals would say too much: those that are refused take no capacity.
+func (demand Demand) StartsBefore(rank routes.Rank, now time.Time) float64 {
 	sum := 0.0
 	for _, each := range demand.ranks {
 		if each.rank.Compare(rank) < 0 {
-			sum += each.arrivals.at(now, rateMemory)
+			sum += each.starts.at(now, rateMemory)
 		}
 	}
 	return sum / rateMemory.Seconds()
 }
 
 // ExpectedWait returns how long a request of the rank waits with this many others ahead of
-// it, at a rate of starts a second of all ranks: those that are more urgent and arrive
-// meanwhile are started first.
+// it, at a rate of starts a second of all ranks: more urgent ones go on taking the part of
+// the capacity that they took just now.
 func (demand Demand) ExpectedWait(rank routes.Rank, ahead int, startsPerS float64, now time.Time) time.Duration {
-	left := startsPerS - demand.ArrivalsBefore(rank, now)
+	left := startsPerS - demand.StartsBefore(rank, now)
 	seconds := float64(ahead+1) / left
 	if left <= 0 || seconds > maxExpectedWait.Seconds() {
 		return maxExpectedWait
--- a/lib/gateways/deadlines.go
+++ b/lib/gateways/deadlines.go
@@ -33,7 +33,7 @@
 func (request *request) placementDeadline() (startBy time.Time, late bool) {
 	return request.gateway.Queue.placementDeadline(placements.Urgency{
 		FirstArrivedAt: request.firstArrivedAt, FirstEventTarget: request.target(), EventGap: request.maxEventGap(), Deadline: request.deadline,
-		Resumed: request.streaming, Attempted: request.sentCount > 0, Refused: request.refusal != nil,
+		Tokens: request.info.PromptTokens, Resumed: request.streaming, Attempted: request.sentCount > 0, Refused: request.refusal != nil,
 	}, request.service)
 }
 
--- a/lib/gateways/gateway.go
+++ b/lib/gateways/gateway.go
@@ -345,7 +345,7 @@
 	requirements := placements.Requirements{
 		Service: request.service, Model: request.info.Model, Tried: request.triedServers, Tokens: request.info.PromptTokens,
 		FirstEventBy: request.firstArrivedAt.Add(request.target()), Late: late,
-		Kind: request.kind(), Organisation: request.match.Organisation.Name, Regions: request.homeRegions(),
+		Kind: request.kind(), Rank: request.match.Rank(), Organisation: request.match.Organisation.Name, Regions: request.homeRegions(),
 	}
 	if request.streaming {
 		requirements.FirstEventBy = startBy
--- a/lib/placements/deadlines.go
+++ b/lib/placements/deadlines.go
@@ -26,6 +26,8 @@
 	FirstEventTarget time.Duration
 	EventGap         time.Duration
 	Deadline         time.Time
+	// Tokens is the length of its prompt, zero if unknown.
+	Tokens int
 	// Resumed is set for a stream of which the caller already has events.
 	Resumed bool
 	// Attempted is set for a request that was already sent to a server.
@@ -41,10 +43,19 @@
 		// The stream is in progress, so it has to go on within the longest allowed pause.
 		return waits.Earlier(now.Add(urgency.EventGap), urgency.Deadline), false
 	}
-	startBy = urgency.FirstArrivedAt.Add(fleet.MaxWait(service, urgency.FirstEventTarget))
+	startBy = urgency.FirstArrivedAt.Add(fleet.maxWait(urgency, service))
 	if !urgency.Attempted && !urgency.Refused && !startBy.Before(now) {
 		return waits.Earlier(startBy, urgency.Deadline), false
 	}
 	wait := min(maxLateWait, time.Duration(maxLateWaitShare*float64(urgency.Deadline.Sub(now))))
 	return now.Add(wait), true
 }
+
+// maxWait returns how long the request may wait for a reservation and still be answered in
+// time.
+func (fleet *Fleet) maxWait(urgency Urgency, service string) time.Duration {
+	if fleet.hasRanks(service) && urgency.Tokens > 0 {
+		return fleet.maxRankedWait(service, urgency.FirstEventTarget, urgency.Tokens)
+	}
+	return fleet.MaxWait(service, urgency.FirstEventTarget)
+}
--- a/lib/placements/fleet.go
+++ b/lib/placements/fleet.go
@@ -15,6 +15,7 @@
 	"firford/lib/demands"
 	"firford/lib/paces"
 	"firford/lib/regions"
+	"firford/lib/routes"
 )
 
 const (
@@ -65,6 +66,7 @@
 		BelowFloor   bool
 		IdleOnly     bool
 		Kind         demands.Kind
+		Rank         routes.Rank
 		Organisation string
 		Regions      regions.Set
 		Tried        []string
@@ -528,6 +530,14 @@
 	return max(minWait, target-time.Duration(responseTimeMargin*float64(meanResponse)))
 }
 
+// maxRankedWait is MaxWait where kinds of different rank use the service. The mean response
+// time is then one of requests that may be answered late and of those that may not; what
+// counts is how soon an engine that has room answers this request.
+func (fleet *Fleet) maxRankedWait(service string, target time.Duration, tokens int) time.Duration {
+	predicted := fleet.profiles[service].PredictFirstEvent(0, tokens, 0) + fleet.predictionErrors[service]
+	return max(minWait, target-predicted)
+}
+
 // meanResponseTime returns the mean of the smoothed response times of a service's
 // servers.
 func (fleet *Fleet) meanResponseTime(service string) time.Duration {
--- a/lib/placements/reservations.go
+++ b/lib/placements/reservations.go
@@ -64,7 +64,9 @@
 
 // demand describes the request to the demand for its service.
 func (requirements Requirements) demand() demands.Request {
-	return demands.Request{Kind: requirements.Kind, Organisation: requirements.Organisation, Tokens: requirements.Tokens}
+	return demands.Request{
+		Kind: requirements.Kind, Rank: requirements.Rank, Late: requirements.Late, Organisation: requirements.Organisation, Tokens: requirements.Tokens,
+	}
 }
 
 // mayUseReserved reports whether the request may use what is reserved for others: requests
--- a/lib/placements/reservations_test.go
+++ b/lib/placements/reservations_test.go
@@ -207,3 +207,21 @@
 		convey.So(dispatcher.Admit(rankedWaiter(laxRequest, at(0)), at(0)), convey.ShouldHaveSameTypeAs, Queued{})
 	})
 }
+
+// Guards against strict targets that leave no time to wait because requests with a lax
+// target, or late ones, are answered late: they were refused on arrival while those started.
+func TestWaitsOfStrictTargetsIgnoreSlowAnswersOfOthers(t *testing.T) {
+	convey.Convey("Given kinds of different rank and servers whose answers take longer than the strict target", t, func() {
+		strict := demands.Kind{Route: "strict", Rank: 0, Target: 400 * time.Millisecond}
+		lax := demands.Kind{Route: "lax", Rank: 2, Target: time.Second}
+		dispatcher := rankedDispatcher(zeroRandom, []string{"a"}, map[demands.Request]int{{Kind: strict, Tokens: 800}: 50, {Kind: lax, Tokens: 1300}: 50})
+		fleet := dispatcher.Fleet()
+		fleet.RecordResponseTime("a", 900*time.Millisecond)
+		urgency := Urgency{FirstArrivedAt: at(0), FirstEventTarget: strict.Target, Deadline: at(6 * time.Second), Tokens: 800}
+		startBy, late := fleet.PlacementDeadline(urgency, "pool", at(0))
+		convey.So(late, convey.ShouldBeFalse)
+		predicted := fleet.profiles["pool"].PredictFirstEvent(0, 800, 0)
+		convey.So(startBy, convey.ShouldEqual, at(strict.Target-predicted))
+		convey.So(startBy.Sub(at(0)), convey.ShouldBeGreaterThan, strict.Target/4)
+	})
+}
