Queue requests while an entry settles before cold servers

Cause: an entry uses no share of cold servers in its first 3.55 s. When all engines were cold by their rows, it estimated the wait from the rate of recent starts, which was none, and refused all but 12 of 1,200 requests that could wait 6 s; it also queued requests that could wait only 3 s, which is in vain. Change: Fleet.settlingWait estimates the wait from the end of settling and the entry's share. The bound and the time of settling stay. Result: with 40 engines and a share of 3, 360 of these 1,200 are queued, 120 are sent as soon as the entry has settled and none before (TestRequestsWaitWhileEntriesSettle, which fails without the change); all tests of lib/placements and lib/warmups pass.

--- a/lib/placements/candidates.go
+++ b/lib/placements/candidates.go
@@ -116,7 +116,7 @@
 // wait for such servers does not depend on the number of requests that wait. If all servers
 // leave, those that replace them may be listed soon.
 func (counts CandidateCounts) IsStalled() bool {
-	if counts.Usable+counts.Full+counts.Limited+counts.Cold+counts.Slow+counts.Outranked > 0 {
+	if counts.hasWarmServer() || counts.Cold > 0 {
 		return false
 	}
 	return counts.Closed+counts.Outdated > 0 || counts.Leaving > 0 && counts.Deferred == 0
--- a/lib/placements/dispatcher.go
+++ b/lib/placements/dispatcher.go
@@ -218,13 +218,17 @@
 
 // expectedWait estimates how long a request waits with this many others ahead. While
 // no server can take requests, the rate of recent starts says nothing about the rate
-// after that, and up to maxStalledQueue requests wait as long as they may. If all servers
+// after that, and up to maxStalledQueue requests wait as long as they may. The same holds
+// while this entry may not use its share of cold servers yet. If all servers
 // asked for no requests until some time, nothing starts before the earliest of these.
 func (dispatcher *Dispatcher) expectedWait(waiter Waiter, ahead int, now time.Time) time.Duration {
 	requirements := waiter.Requirements
 	if ahead < maxStalledQueue && dispatcher.fleet.CountCandidates(requirements, overcommit(requirements), now).IsStalled() {
 		return 0
 	}
+	if wait, isSettling := dispatcher.fleet.settlingWait(requirements, ahead, now); isSettling {
+		return wait
+	}
 	wait := dispatcher.startRates[requirements.Service].ExpectedWait(ahead, now)
 	if dispatcher.fleet.hasRanks(requirements.Service) && !requirements.mayUseReserved() && !waiter.Late {
 		startsPerS := dispatcher.startRates[requirements.Service].PerSecond(now)
--- a/lib/placements/warmups.go
+++ b/lib/placements/warmups.go
@@ -269,6 +269,29 @@
 	return rule.Bound(fleet.cold.tolerance).Share(fleet.cold.census.Group())
 }
 
+// settlingWait returns how long a request with this many others ahead waits if this entry
+// may not use its share yet, and all servers that could take the request are cold. The rate
+// of recent starts says nothing about the time after that.
+func (fleet *Fleet) settlingWait(requirements Requirements, ahead int, now time.Time) (time.Duration, bool) {
+	rule, isLimited := fleet.cold.rules[requirements.Service]
+	if !isLimited || fleet.cold.presence.IsSettled(now) {
+		return 0, false
+	}
+	counts := fleet.CountCandidates(requirements, overcommit(requirements), now)
+	perWindow := counts.Cold * rule.Bound(fleet.cold.tolerance).Share(fleet.cold.census.Group())
+	if counts.hasWarmServer() || perWindow <= 0 {
+		return 0, false
+	}
+	windows := time.Duration(ahead / perWindow)
+	return fleet.cold.presence.SettledAt(now).Sub(now) + windows*warmups.Window, true
+}
+
+// hasWarmServer reports whether a server that is not known to be cold takes requests now or
+// soon.
+func (counts CandidateCounts) hasWarmServer() bool {
+	return counts.Usable+counts.Full+counts.Limited+counts.Slow+counts.Outranked > 0
+}
+
 // coldServer returns the rule for a server that is believed to be cold now, and what is
 // known of it.
 func (fleet *Fleet) coldServer(id string, now time.Time) (warmups.Rule, warmup, bool) {
--- a/lib/placements/warmups_test.go
+++ b/lib/placements/warmups_test.go
@@ -204,6 +204,52 @@
 	})
 }
 
+// TestRequestsWaitWhileEntriesSettle guards against callers that are refused although this
+// entry may soon use its share of the cold servers. After a loss of power all servers are
+// cold and all entries have just started, and nothing has started in the last second.
+func TestRequestsWaitWhileEntriesSettle(t *testing.T) {
+	convey.Convey("Given an entry that has just started, and 40 engines whose rows state that they are cold", t, func() {
+		const engines, share, waiting = 40, 3, 200
+		fleet := NewFleet("nairobi")
+		fleet.SetWarmupTolerance(warmupTolerance)
+		fleet.SetWarmups(warmupRules, at(0))
+		var servers []Server
+		for i := range engines {
+			server := newEngine(fmt.Sprint(i), "nairobi", 1)
+			server.WarmupLeft = 20 * time.Second
+			servers = append(servers, server)
+		}
+		fleet.UpdateServers(servers, time.Time{}, at(0))
+		fleet.Expire(at(0))
+		fleet.recordEntries(EntryGroup{Count: 14, Position: 5}, at(0))
+		dispatcher := NewDispatcher(fleet, zeroRandom)
+		admit := func(startBy time.Duration) Decision {
+			return dispatcher.Admit(Waiter{StartBy: at(startBy), Requirements: requirements}, at(0))
+		}
+		convey.Convey("requests that can't wait until it settles are refused on arrival", func() {
+			convey.So(admit(3*time.Second), convey.ShouldHaveSameTypeAs, Refused{})
+		})
+		convey.Convey("others wait, as many as its share serves in time, and none is sent before", func() {
+			for range waiting {
+				convey.So(admit(6*time.Second), convey.ShouldHaveSameTypeAs, Queued{})
+			}
+			runFor(fleet, 0, 3400*time.Millisecond)
+			convey.So(dispatcher.Dispatch("pool", at(3500*time.Millisecond)), convey.ShouldBeEmpty)
+			runFor(fleet, 3400*time.Millisecond, 3600*time.Millisecond)
+			convey.So(dispatcher.Dispatch("pool", at(3600*time.Millisecond)), convey.ShouldHaveLength, engines*share)
+		})
+		convey.Convey("more than its share serves in time are refused on arrival", func() {
+			admitted := 0
+			for range 10 * engines * share {
+				if _, isQueued := admit(6 * time.Second).(Queued); isQueued {
+					admitted++
+				}
+			}
+			convey.So(admitted, convey.ShouldEqual, 3*engines*share)
+		})
+	})
+}
+
 // TestReturnedDataCentreServesAtTheBound guards against idle cold engines while callers
 // wait: of the bound of each engine, at least 0.9 has to be used in the first second after
 // the return of the data centre, and never more than all of it.
--- a/lib/warmups/warmups.go
+++ b/lib/warmups/warmups.go
@@ -150,6 +150,12 @@
 	return !presence.seenAt.IsZero() && now.Sub(presence.seenAt) <= maxGap && !now.Before(presence.since.Add(settleTime))
 }
 
+// SettledAt returns the earliest time from which the entry may use its share, if it goes on
+// to run without a long pause.
+func (presence Presence) SettledAt(now time.Time) time.Time {
+	return presence.With(now).since.Add(settleTime)
+}
+
 // MayReserve reports whether a further request may be reserved within the share. All
 // requests that are reserved already may still be sent.
 func (starts Starts) MayReserve(share int, now time.Time) bool {
