--- a/lib/gateways/warmups_test.go
+++ b/lib/gateways/warmups_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -89,7 +90,8 @@
 			reservations = append(reservations, reservation)
 		}
 		fixture.restart("0", 2)
-		request := &request{gateway: fixture.gateway, service: "desk", triedServers: []string{"0"}}
+		received := httptest.NewRequest(http.MethodPost, "/once/", nil)
+		request := &request{gateway: fixture.gateway, received: received, service: "desk", triedServers: []string{"0"}}
 		for _, reservation := range reservations[:2] {
 			_, isWithdrawn := request.withdrawal(reservation)
 			convey.So(isWithdrawn, convey.ShouldBeFalse)
