Wrap the comment on exclusions

Cause: the list of exclusions had lines of uneven length after evacuations were added. Change: the comment is wrapped. Result: no behaviour changes.

--- a/lib/placements/candidates.go
+++ b/lib/placements/candidates.go
@@ -3,8 +3,9 @@
 // This file finds out why a server is not a candidate for a request. A refusal logs
 // the counts, so that its cause can be read from the log alone: servers that are not in an
 // allowed region, that are in an evacuated data centre, that are unavailable, that leave,
-// that asked for no requests for a time, that serve an old version, that are full, that have stated a limit, that are cold, that would answer too
-// late, or that have room only for requests with a stricter target.
+// that asked for no requests for a time, that serve an old version, that are full, that
+// have stated a limit, that are cold, that would answer too late, or that have room only
+// for requests with a stricter target.
 
 import (
 	"slices"
