--- a/lib/placements/candidates.go
+++ b/lib/placements/candidates.go
@@ -1,11 +1,11 @@
 package placements
 
 // This file finds out why a server is not a candidate for a request. A refusal logs
-// the counts, so that its cause can be read from the log alone: servers that are
-// in other regions than the request's, that are
-// unavailable, that leave, that asked for no requests for a time, that serve an old
-// version, that are full, that have stated a limit, that are cold, that would answer too
-// late, or that have room only for requests with a stricter target.
+// the counts, so that its cause can be read from the log alone: servers that are not in an
+// allowed region, that are in an evacuated data centre, that are unavailable, that leave,
+// that asked for no requests for a time, that serve an old version, that are full, that
+// have stated a limit, that are cold, that would answer too late, or that have room only
+// for requests with a stricter target.
 
 import (
 	"slices"
@@ -116,7 +116,7 @@
 // wait for such servers does not depend on the number of requests that wait. If all servers
 // leave, those that replace them may be listed soon.
 func (counts CandidateCounts) IsStalled() bool {
-	if counts.Usable+counts.Full+counts.Limited+counts.Cold+counts.Slow+counts.Outranked > 0 {
+	if counts.hasWarmServer() || counts.Cold > 0 {
 		return false
 	}
 	return counts.Closed+counts.Outdated > 0 || counts.Leaving > 0 && counts.Deferred == 0
