Reject numbers of missing lines that would overflow their sums

Cause: the load report added left_out and the numbers of dropped lines without a bound. Two damaged lines made the covered share +Inf.

Change: a line that states more than 1,000,000,000 missing lines, or an unreadable number, counts as unreadable.

Result: TestLoadSumsDoNotOverflow fails without the change; go test firford/lib/timelines -run Load passes.

--- a/lib/timelines/load.go
+++ b/lib/timelines/load.go
@@ -33,6 +33,9 @@
 	waitDigits  = 2
 	// longestRequest is the highest age of a request that its line is believed.
 	longestRequest = 24 * time.Hour
+	// maxMissing is the highest number of missing lines that a line is believed. A process
+	// writes some hundred a second, and sums of such numbers can't overflow.
+	maxMissing = 1_000_000_000
 
 	eventLinesDropped = "log lines dropped"
 	reasonNoPlace     = "no place in time"
@@ -42,7 +45,7 @@
 var (
 	errNoEvent = errors.New("line without an event")
 	errNoAge   = errors.New("request ended without a readable age (after)")
-	errNoCount = errors.New("lines dropped without their number")
+	errNoCount = errors.New("missing lines without a readable number")
 	// The marks tell lines that are counted from the others, which need not be parsed.
 	markRequestEnded = []byte(`event="` + eventRequestEnded + `"`)
 	markStarted      = []byte("event=" + eventProcessStarted + " ")
@@ -146,14 +149,23 @@
 // addDropped counts the lines that a process could not write. This line has no time.
 func (log *LoadLog) addDropped(text []byte) error {
 	_, number, _ := strings.Cut(string(text), " lines=")
-	dropped, err := strconv.ParseInt(strings.TrimSpace(number), 10, 64)
-	if err != nil || dropped < 0 {
-		return errNoCount
+	dropped, err := parseMissing(strings.TrimSpace(number))
+	if err != nil {
+		return err
 	}
 	log.linesDropped += dropped
 	return nil
 }
 
+// parseMissing returns the number of missing lines that a line states.
+func parseMissing(text string) (int64, error) {
+	missing, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || missing < 0 || missing > maxMissing {
+		return 0, errNoCount
+	}
+	return missing, nil
+}
+
 // addStart records the data centre of a process.
 func (log *LoadLog) addStart(line Line) error {
 	dataCentre := line.Fields["data_centre"]
@@ -258,10 +270,10 @@
 	counts.unanswered = countIf(servers > 0 && reason != "")
 	counts.late = countIf(line.Fields["late"] == "true")
 	counts.repeated = countIf(line.Fields["asked_before"] != "")
-	if leftOut, err := strconv.ParseInt(line.Fields["left_out"], 10, 64); err == nil && leftOut > 0 {
-		counts.leftOut = leftOut
+	if leftOut := line.Fields["left_out"]; leftOut != "" {
+		counts.leftOut, err = parseMissing(leftOut)
 	}
-	return request, nil
+	return request, err
 }
 
 func countIf(condition bool) int64 {
--- a/lib/timelines/load_test.go
+++ b/lib/timelines/load_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"math"
 	"os"
 	"strings"
 	"testing"
@@ -61,6 +62,21 @@
 	})
 }
 
+// Guards against numbers in damaged lines that overflow the sums, after which the share of
+// requests that are counted would be negative or above 1.
+func TestLoadSumsDoNotOverflow(t *testing.T) {
+	convey.Convey("Given two lines that state the highest numbers of missing ones", t, func() {
+		ended := strings.TrimSpace(endedLine(0, "r")) + fmt.Sprintf(" left_out=%d\n", math.MaxInt64)
+		dropped := fmt.Sprintf("event=\"log lines dropped\" lines=%d\n", math.MaxInt64)
+		log := NewLoadLog()
+		convey.So(log.AddLog(strings.NewReader(strings.Repeat(ended+dropped, 2)), "log"), convey.ShouldBeNil)
+		report := log.Report()
+		convey.So(*report.Total.Covered, convey.ShouldBeBetweenOrEqual, 0, 1)
+		convey.So(report.LinesDropped, convey.ShouldBeGreaterThanOrEqualTo, 0)
+		convey.So(report.UnreadableCount, convey.ShouldEqual, 4)
+	})
+}
+
 // Guards against log contents that make the program panic or never end.
 func FuzzLoad(f *testing.F) {
 	f.Add([]byte(endedLine(0, "r")))
