Don't let a full region block requests of other regions by rank

Cause: where kinds of different rank use a service, a request with another one ahead of it was also blocked by requests that wait for a region of their own, which do not block it elsewhere.

Change: the check of ranks skips the same requests as CountAhead.

--- a/lib/placements/dispatcher.go
+++ b/lib/placements/dispatcher.go
@@ -198,15 +198,15 @@
 }
 
 // isBlocked reports whether a request ahead of this one has to be placed before it. Those
-// for which the engines have no room while they are reserved for requests like this one do
-// not block it.
+// that may not use all servers that this one may use do not block it, and neither do those
+// for which the engines have no room while they are reserved for requests like this one.
 func (dispatcher *Dispatcher) isBlocked(waiter Waiter, ahead int) bool {
 	service := waiter.Requirements.Service
 	if ahead == 0 || !dispatcher.fleet.hasRanks(service) {
 		return ahead > 0
 	}
 	return slices.ContainsFunc(dispatcher.queues[service].Waiters(), func(other Waiter) bool {
-		return !waiter.precedes(other) && !dispatcher.fleet.isReservedFor(waiter.Requirements.Kind, other.Requirements)
+		return waiter.yieldsTurnTo(other) && !dispatcher.fleet.isReservedFor(waiter.Requirements.Kind, other.Requirements)
 	})
 }
 
--- a/lib/placements/queue.go
+++ b/lib/placements/queue.go
@@ -75,12 +75,11 @@
 // Waiters returns the waiters in order. The slice must not be changed.
 func (queue Queue) Waiters() []Waiter { return queue.waiters }
 
-// CountAhead counts the waiters that come before a new one and may use all servers that
-// it may use. Others, which wait for a region of their own, don't hold it up.
+// CountAhead counts the waiters to which a new one yields its turn.
 func (queue Queue) CountAhead(waiter Waiter) int {
 	count := 0
 	for _, other := range queue.waiters {
-		if !waiter.precedes(other) && other.Requirements.Regions.Covers(waiter.Requirements.Regions) {
+		if waiter.yieldsTurnTo(other) {
 			count++
 		}
 	}
@@ -93,6 +92,13 @@
 	return waiter.Requirements.Model != "" && !waiter.Late && !waiter.Requirements.Resumed
 }
 
+// yieldsTurnTo reports whether the other waiter comes before this one and may use all
+// servers that this one may use. Others, which wait for a region of their own, don't hold it
+// up.
+func (waiter Waiter) yieldsTurnTo(other Waiter) bool {
+	return !waiter.precedes(other) && other.Requirements.Regions.Covers(waiter.Requirements.Regions)
+}
+
 func (waiter Waiter) precedes(other Waiter) bool {
 	if waiter.Requirements.Resumed != other.Requirements.Resumed {
 		return waiter.Requirements.Resumed
