Keep requests for idle engines from holding up others

Cause: a kind that is started more often than a more urgent one gets idle engines only. Where both have the same target, its waiting requests of an urgent organisation ended the dispatch pass and blocked arrivals of the more urgent kind, for which the engines had room. A late request that arrived overtook late ones that were waiting.

Change: requests for idle engines form a group of their own in a pass, and do not block others. Requests that are late or get idle engines only are blocked by all those ahead of them.

--- a/lib/placements/dispatcher.go
+++ b/lib/placements/dispatcher.go
@@ -110,8 +110,9 @@
 
 	// waiterGroup is a group of waiting requests that find servers, or none, alike.
 	waiterGroup struct {
-		regions string
-		yields  bool
+		regions  string
+		yields   bool
+		idleOnly bool
 	}
 
 	// ServiceStatus describes a service from the point of view of a plain request.
@@ -199,10 +200,11 @@
 
 // isBlocked reports whether a request ahead of this one has to be placed before it. Those
 // that may not use all servers that this one may use do not block it, and neither do those
-// for which the engines have no room while they are reserved for requests like this one.
+// for which the engines have no room while they are reserved for requests like this one. A
+// request that is late or gets idle engines only needs what those ahead of it wait for.
 func (dispatcher *Dispatcher) isBlocked(waiter Waiter, ahead int) bool {
 	service := waiter.Requirements.Service
-	if ahead == 0 || !dispatcher.fleet.hasRanks(service) {
+	if ahead == 0 || !dispatcher.fleet.hasRanks(service) || waiter.Requirements.Late || waiter.Requirements.IdleOnly {
 		return ahead > 0
 	}
 	return slices.ContainsFunc(dispatcher.queues[service].Waiters(), func(other Waiter) bool {
@@ -327,8 +329,9 @@
 
 // Dispatch reserves servers for the requests queued for the service, in queue order.
 // It passes over requests of one group once maxPlacementFailures of them have found no
-// server: a full region must not hold up the requests of another one, and those that yield
-// to stricter targets must not hold up the ones with such a target.
+// server: a full region must not hold up the requests of another one, those that yield to
+// stricter targets must not hold up the ones with such a target, and those that get idle
+// engines only must not hold up the others.
 func (dispatcher *Dispatcher) Dispatch(service string, now time.Time) []Grant {
 	waiters := dispatcher.queues[service].Waiters()
 	if len(waiters) == 0 {
@@ -341,7 +344,7 @@
 	var grants []Grant
 	failures := map[waiterGroup]int{}
 	for _, waiter := range waiters {
-		group := waiterGroup{regions: waiter.Requirements.Regions.String(), yields: dispatcher.fleet.yields(waiter.Requirements)}
+		group := waiterGroup{regions: waiter.Requirements.Regions.String(), yields: dispatcher.fleet.yields(waiter.Requirements), idleOnly: waiter.Requirements.IdleOnly}
 		if failures[group] == maxPlacementFailures {
 			continue
 		}
--- a/lib/placements/reservations.go
+++ b/lib/placements/reservations.go
@@ -58,7 +58,7 @@
 
 // isReservedFor reports whether engines are reserved for the kind against the request.
 func (fleet *Fleet) isReservedFor(kind demands.Kind, requirements Requirements) bool {
-	return !requirements.mayUseReserved() && requirements.yieldsTo(kind) &&
+	return !requirements.mayUseReserved() && (requirements.IdleOnly || requirements.yieldsTo(kind)) &&
 		slices.ContainsFunc(fleet.typical[requirements.Service], func(typical demands.Typical) bool { return typical.Kind == kind })
 }
 
