--- a/lib/placements/dispatcher.go
+++ b/lib/placements/dispatcher.go
@@ -110,9 +110,8 @@
 
 	// waiterGroup is a group of waiting requests that find servers, or none, alike.
 	waiterGroup struct {
-		regions  string
-		yields   bool
-		idleOnly bool
+		regions string
+		yields  bool
 	}
 
 	// ServiceStatus describes a service from the point of view of a plain request.
@@ -329,9 +328,8 @@
 
 // Dispatch reserves servers for the requests queued for the service, in queue order.
 // It passes over requests of one group once maxPlacementFailures of them have found no
-// server: a full region must not hold up the requests of another one, those that yield to
-// stricter targets must not hold up the ones with such a target, and those that get idle
-// engines only must not hold up the others.
+// server: a full region must not hold up the requests of another one, and those that yield
+// to stricter targets or get idle engines only must not hold up the others.
 func (dispatcher *Dispatcher) Dispatch(service string, now time.Time) []Grant {
 	waiters := dispatcher.queues[service].Waiters()
 	if len(waiters) == 0 {
@@ -344,7 +342,7 @@
 	var grants []Grant
 	failures := map[waiterGroup]int{}
 	for _, waiter := range waiters {
-		group := waiterGroup{regions: waiter.Requirements.Regions.String(), yields: dispatcher.fleet.yields(waiter.Requirements), idleOnly: waiter.Requirements.IdleOnly}
+		group := waiterGroup{regions: waiter.Requirements.Regions.String(), yields: dispatcher.fleet.yields(waiter.Requirements)}
 		if failures[group] == maxPlacementFailures {
 			continue
 		}
--- a/lib/placements/reservations.go
+++ b/lib/placements/reservations.go
@@ -51,14 +51,14 @@
 
 // yields reports whether engines are reserved against the request for another kind.
 func (fleet *Fleet) yields(requirements Requirements) bool {
-	return !requirements.mayUseReserved() && slices.ContainsFunc(fleet.typical[requirements.Service], func(typical demands.Typical) bool {
-		return requirements.yieldsTo(typical.Kind)
+	return slices.ContainsFunc(fleet.typical[requirements.Service], func(typical demands.Typical) bool {
+		return requirements.isKeptBackFor(typical.Kind)
 	})
 }
 
 // isReservedFor reports whether engines are reserved for the kind against the request.
 func (fleet *Fleet) isReservedFor(kind demands.Kind, requirements Requirements) bool {
-	return !requirements.mayUseReserved() && (requirements.IdleOnly || requirements.yieldsTo(kind)) &&
+	return requirements.isKeptBackFor(kind) &&
 		slices.ContainsFunc(fleet.typical[requirements.Service], func(typical demands.Typical) bool { return typical.Kind == kind })
 }
 
@@ -73,6 +73,12 @@
 	return requirements.Kind.IsZero() || requirements.Resumed || requirements.BelowFloor
 }
 
+// isKeptBackFor reports whether the request may not take engines that a request of the kind
+// may take: because they are reserved, or because it gets idle engines only.
+func (requirements Requirements) isKeptBackFor(kind demands.Kind) bool {
+	return !requirements.mayUseReserved() && (requirements.IdleOnly || requirements.yieldsTo(kind))
+}
+
 // yieldsTo reports whether engines are reserved against the request for the kind. A request
 // that is late already has no target any more, so that every target is stricter.
 func (requirements Requirements) yieldsTo(kind demands.Kind) bool {
