State each cause of a refusal once in firford explain

The explanation of a refusal named up to four counts twice.

Change: each counter is listed once, with the words of the golden file.

Result: TestExplanations failed and passes; the golden file is unchanged.

--- a/lib/timelines/causes.go
+++ b/lib/timelines/causes.go
@@ -260,13 +260,9 @@
 	for _, counter := range []struct{ field, text string }{
 		{"full", "full"},
 		{"limited", "at the limit that they stated"},
-		{"cold", "cold, with their share of requests used"},
 		{"slow", "with too much to read before it"},
-		{"outranked", "with room only for requests with a stricter target"},
 		{"closed", "closed or changing version"},
 		{"leaving", "leaving"},
-		{"forbidden", "not in a home region"},
-		{"evacuated", "in an evacuated data centre"},
 		{"deferred", "that had asked for no requests for a time"},
 		{"outdated", "on a version that is due"},
 		{"forbidden", "not in an allowed region"},
