--- a/lib/placements/dispatcher.go
+++ b/lib/placements/dispatcher.go
@@ -198,15 +198,16 @@
 }
 
 // isBlocked reports whether a request ahead of this one has to be placed before it. Those
-// for which the engines have no room while they are reserved for requests like this one do
-// not block it.
+// that may not use all servers that this one may use do not block it, and neither do those
+// for which the engines have no room while they are reserved for requests like this one. A
+// request that is late or gets idle engines only needs what those ahead of it wait for.
 func (dispatcher *Dispatcher) isBlocked(waiter Waiter, ahead int) bool {
 	service := waiter.Requirements.Service
-	if ahead == 0 || !dispatcher.fleet.hasRanks(service) {
+	if ahead == 0 || !dispatcher.fleet.hasRanks(service) || waiter.Requirements.Late || waiter.Requirements.IdleOnly {
 		return ahead > 0
 	}
 	return slices.ContainsFunc(dispatcher.queues[service].Waiters(), func(other Waiter) bool {
-		return !waiter.precedes(other) && !dispatcher.fleet.isReservedFor(waiter.Requirements.Kind, other.Requirements)
+		return waiter.yieldsTurnTo(other) && !dispatcher.fleet.isReservedFor(waiter.Requirements.Kind, other.Requirements)
 	})
 }
 
@@ -332,7 +333,7 @@
 // Dispatch reserves servers for the requests queued for the service, in queue order.
 // It passes over requests of one group once maxPlacementFailures of them have found no
 // server: a full region must not hold up the requests of another one, and those that yield
-// to stricter targets must not hold up the ones with such a target.
+// to stricter targets or get idle engines only must not hold up the others.
 func (dispatcher *Dispatcher) Dispatch(service string, now time.Time) []Grant {
 	waiters := dispatcher.queues[service].Waiters()
 	if len(waiters) == 0 {
