--- a/lib/shares/shares.go
+++ b/lib/shares/shares.go
@@ -16,9 +16,7 @@
 	Whole = 1000
 	// basePerS is added to the demand of each entry, in requests a second. A count of one
 	// second varies at random by its square root, so small demands differ mostly by chance,
-	// and an entry without demand needs slots for its first requests. In a trial with 12
-	// engines and 9 requests a second for each entry, the 95th percentile of the time to the
-	// first event was 236 ms without it, 217 ms with 4 and 195 ms with 8.
+	// and an entry without demand needs slots for its first requests.
 	basePerS = 8
 	// maxDemand is the highest demand that counts, in requests a second. An entry serves
 	// some hundred.
