Refuse waiting requests and tell late answers in one place each

SetEvacuations and refuseDeferred each ended waits with refusals, and handleHead worked out again what isLate tells. Change: deliverRefusals beside deliverGrants serves both, and handleHead calls isLate. A deferral needs an allowed server that is not evacuated, so its refusals keep their reason.

--- a/lib/gateways/admission_queue.go
+++ b/lib/gateways/admission_queue.go
@@ -258,8 +258,13 @@
 // refuseDeferred refuses the waiting requests that no server of the service takes in
 // time, because all asked for no requests. The caller holds the mutex.
 func (queue *AdmissionQueue) refuseDeferred(service string, now time.Time) {
-	for _, each := range queue.dispatcher.RefuseDeferred(service, now) {
-		queue.endWait(each.Number, waitEnd{refusal: &refusal{Refused: each.Refused, reason: reasonNoPlaceInTime}})
+	queue.deliverRefusals(queue.dispatcher.RefuseDeferred(service, now))
+}
+
+// deliverRefusals refuses the requests that wait. The caller holds the mutex.
+func (queue *AdmissionQueue) deliverRefusals(refusals []placements.Refusal) {
+	for _, each := range refusals {
+		queue.endWait(each.Number, waitEnd{refusal: &refusal{Refused: each.Refused, reason: refusalReason(each.Refused, reasonNoPlaceInTime)}})
 	}
 }
 
--- a/lib/gateways/evacuations.go
+++ b/lib/gateways/evacuations.go
@@ -16,8 +16,6 @@
 	now := time.Now()
 	changes := queue.dispatcher.Fleet().SetEvacuations(dataCentres, now)
 	queue.dispatchAll(now)
-	for _, each := range queue.dispatcher.RefuseOutOfReach(now) {
-		queue.endWait(each.Number, waitEnd{refusal: &refusal{Refused: each.Refused, reason: refusalReason(each.Refused, reasonNoPlaceInTime)}})
-	}
+	queue.deliverRefusals(queue.dispatcher.RefuseOutOfReach(now))
 	return changes
 }
--- a/lib/gateways/forward.go
+++ b/lib/gateways/forward.go
@@ -112,7 +112,7 @@
 	attempt.beganAt = request.answerBeganAt
 	delay := request.answerBeganAt.Sub(attempt.sentAt)
 	gateway.metrics.firstEvent.RecordDuration(request.answerBeganAt.Sub(request.arrivedAt))
-	if !request.streaming && request.answerBeganAt.After(request.firstArrivedAt.Add(request.target())) {
+	if !request.streaming && request.isLate(request.answerBeganAt) {
 		request.countRanked(rankedLate)
 	}
 	gateway.metrics.recordPrediction(delay, reservation.Predicted)
