Store since when a pace is unchanged instead of for how long

Cause: a field held a duration, which the house style keeps for settings. Change: the time of the first equal statement, from which the rest follows. Result: tests of paces, placements and loads pass.

--- a/lib/paces/paces.go
+++ b/lib/paces/paces.go
@@ -30,8 +30,8 @@
 type Pace struct {
 	percent  int
 	statedAt time.Time
-	// unchangedFor is for how long the percentage had been stated by then.
-	unchangedFor time.Duration
+	// unchangedSince is from when on the same percentage was stated.
+	unchangedSince time.Time
 }
 
 // New returns the pace that was stated at the time. A percentage out of range counts as
@@ -40,7 +40,7 @@
 	if percent <= 0 || percent > maxPercent {
 		return Pace{}
 	}
-	return Pace{percent: percent, statedAt: statedAt}
+	return Pace{percent: percent, statedAt: statedAt, unchangedSince: statedAt}
 }
 
 // IsStated reports whether the pace was stated at all.
@@ -61,14 +61,14 @@
 	if !other.IsStated() || !other.statedAt.After(pace.statedAt) {
 		return pace
 	}
-	if gap := other.statedAt.Sub(pace.statedAt); other.percent == pace.percent && gap < maxGap {
-		other.unchangedFor = pace.unchangedFor + gap
+	if other.percent == pace.percent && other.statedAt.Sub(pace.statedAt) < maxGap {
+		other.unchangedSince = pace.unchangedSince
 	}
 	return other
 }
 
 // isStuck reports whether the figure has stopped changing.
-func (pace Pace) isStuck() bool { return pace.unchangedFor > maxUnchanged }
+func (pace Pace) isStuck() bool { return pace.statedAt.Sub(pace.unchangedSince) > maxUnchanged }
 
 // Factor returns by how much longer than usual work takes, at least 1. The excess over the
 // usual falls linearly to nothing at the end of the lifetime.
