--- a/lib/placements/availability.go
+++ b/lib/placements/availability.go
@@ -276,7 +276,8 @@
 	return permission
 }
 
-// deferredUntil returns the earliest time at which a server takes the request, if all that have not left, and may receive it, have asked for none until some time.
+// deferredUntil returns the earliest time at which a server takes the request, if all that
+// may receive it and have not left have asked for none until some time.
 func (fleet *Fleet) deferredUntil(requirements Requirements, now time.Time) (time.Time, bool) {
 	var earliest time.Time
 	for _, id := range fleet.byService[requirements.Service] {
