--- a/cmd/bench/emulation/command.go
+++ b/cmd/bench/emulation/command.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"os"
 	"slices"
 	"strings"
@@ -34,6 +35,7 @@
 		return err
 	}
 	printRows(os.Stdout, rows)
+	printKinds(os.Stdout, rows)
 	if command.Plot == "" {
 		return nil
 	}
@@ -69,6 +71,19 @@
 	return list == "" || slices.Contains(strings.Split(list, ","), name)
 }
 
+// printKinds writes the results of each kind of requests as a Markdown table.
+func printKinds(out io.Writer, rows []row) {
+	_, _ = fmt.Fprintln(out, "\n| pattern | policy | kind | worth | on time | late | refused | failed |")
+	_, _ = fmt.Fprintln(out, "|---|---|---|---|---|---|---|---|")
+	for _, row := range rows {
+		for _, name := range slices.Sorted(maps.Keys(row.result.kinds)) {
+			sum := row.result.kinds[name]
+			_, _ = fmt.Fprintf(out, "| %s | %s | %s | %.3f | %.3f | %.3f | %.3f | %.3f |\n", row.pattern, row.policy, name,
+				sum.earnedWorth/max(1, sum.offeredWorth), sum.share(outcomeOnTime), sum.share(outcomeLate), sum.share(outcomeRefused), sum.share(outcomeFailed))
+		}
+	}
+}
+
 // printRows writes the rows as a Markdown table.
 func printRows(out io.Writer, rows []row) {
 	_, _ = fmt.Fprintln(out, "| pattern | policy | worth | on time | late | refused | failed | refused again | first event ms, median | 95% |")
--- a/cmd/bench/emulation/results.go
+++ b/cmd/bench/emulation/results.go
@@ -1,6 +1,7 @@
 package emulation
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -25,14 +26,45 @@
 	refusedRepeatedly         int
 	firstEventTimes           []time.Duration
 	tokensWritten             int
+	// kinds holds the results of each kind of requests of a ranked site by its name.
+	kinds map[string]kindResult
+}
+
+// kindResult sums up the requests of a kind.
+type kindResult struct {
+	counts                    [outcomeAbandoned + 1]int
+	offeredWorth, earnedWorth float64
 }
 
 // addOffered adds the worth of a new request.
 func (result *result) addOffered(kind requestKind) { result.offeredWorth += kind.worth }
 
+// recordKind records the outcome for the request's kind, and its earned worth.
+func (result *result) recordKind(kind requestKind, outcome outcome, earned float64) {
+	if result.kinds == nil {
+		result.kinds = map[string]kindResult{}
+	}
+	sum := result.kinds[kind.name]
+	sum.counts[outcome]++
+	sum.offeredWorth += kind.worth
+	sum.earnedWorth += earned
+	result.kinds[kind.name] = sum
+}
+
+// share returns the share of the kind's requests with the outcome.
+func (sum kindResult) share(outcome outcome) float64 {
+	count := 0
+	for _, each := range sum.counts {
+		count += each
+	}
+	return float64(sum.counts[outcome]) / max(1, float64(count))
+}
+
 // record adds a finished request with its outcome.
 func (result *result) record(request *request, outcome outcome) {
 	result.counts[outcome]++
+	before := result.earnedWorth
+	defer func() { result.recordKind(request.kind, outcome, result.earnedWorth-before) }()
 	switch outcome {
 	case outcomeOnTime:
 		result.earnedWorth += request.kind.worth
@@ -84,6 +116,20 @@
 	for number := range other.counts {
 		result.counts[number] += other.counts[number]
 	}
+	kinds := maps.Clone(result.kinds)
+	if kinds == nil {
+		kinds = map[string]kindResult{}
+	}
+	for name, added := range other.kinds {
+		sum := kinds[name]
+		for number := range added.counts {
+			sum.counts[number] += added.counts[number]
+		}
+		sum.offeredWorth += added.offeredWorth
+		sum.earnedWorth += added.earnedWorth
+		kinds[name] = sum
+	}
+	result.kinds = kinds
 	result.offeredWorth += other.offeredWorth
 	result.earnedWorth += other.earnedWorth
 	result.refusedRepeatedly += other.refusedRepeatedly
--- a/lib/gateways/admission_queue.go
+++ b/lib/gateways/admission_queue.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"firford/lib/demands"
 	"firford/lib/placements"
 )
 
@@ -300,11 +301,12 @@
 	return queue.dispatcher.Fleet().OwnLimits(time.Now())
 }
 
-// countRequest counts a caller's request towards the retry budget of its service.
-func (queue *AdmissionQueue) countRequest(service string) {
+// countRequest counts a caller's request towards the demand for its service and the
+// service's retry budget.
+func (queue *AdmissionQueue) countRequest(service string, request demands.Request) {
 	queue.mutex.Lock()
 	defer queue.mutex.Unlock()
-	queue.dispatcher.CountRequest(service, time.Now())
+	queue.dispatcher.CountRequest(service, request, time.Now())
 }
 
 // hasRetry reports whether the retry budget of the service allows one more retry.
--- a/lib/gateways/gateway.go
+++ b/lib/gateways/gateway.go
@@ -19,6 +19,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/time/rate"
 
+	"firford/lib/demands"
 	"firford/lib/placements"
 	"firford/lib/quarantines"
 	"firford/lib/routes"
@@ -265,7 +266,7 @@
 	}
 	ctx, cancel := context.WithDeadline(request.received.Context(), request.deadline.Add(answerMargin))
 	defer cancel()
-	request.gateway.Queue.countRequest(request.service)
+	request.gateway.Queue.countRequest(request.service, request.demand())
 	request.identity = request.fingerprint()
 	request.traits = append(quarantines.Parts(request.info.SharedParts...), request.identity)
 	request.gateway.Quarantines.CountRequest(request.traits)
@@ -316,12 +317,27 @@
 	return true
 }
 
+// kind returns the kind of the request. Requests for plain services have none.
+func (request *request) kind() demands.Kind {
+	if request.info.Model == "" {
+		return demands.Kind{}
+	}
+	route := request.match.Route
+	return demands.Kind{Route: route.Name, Rank: route.Priority, Target: request.target()}
+}
+
+// demand describes the request to the demand for its service.
+func (request *request) demand() demands.Request {
+	return demands.Request{Kind: request.kind(), Organisation: request.match.Organisation.Name, Tokens: request.info.PromptTokens}
+}
+
 // waiter describes the request to the admission queue.
 func (request *request) waiter() placements.Waiter {
 	startBy, late := request.placementDeadline()
 	requirements := placements.Requirements{
 		Service: request.service, Model: request.info.Model, Tried: request.triedServers, Tokens: request.info.PromptTokens,
 		FirstEventBy: request.firstArrivedAt.Add(request.target()), Late: late,
+		Kind: request.kind(), Organisation: request.match.Organisation.Name,
 	}
 	if request.streaming {
 		requirements.FirstEventBy = startBy
--- a/lib/gateways/takeover.go
+++ b/lib/gateways/takeover.go
@@ -14,6 +14,7 @@
 	"slices"
 	"time"
 
+	"firford/lib/demands"
 	"firford/lib/placements"
 	"firford/lib/routes"
 	"firford/lib/waits"
@@ -205,6 +206,7 @@
 	}
 	if !request.streaming {
 		waiter.Failover, waiter.Late = true, false
+		waiter.Requirements.Kind = demands.Kind{}
 		waiter.Requirements.Late, waiter.Requirements.FirstEventBy = false, waiter.StartBy
 	}
 	return waiter
--- a/lib/placements/candidates.go
+++ b/lib/placements/candidates.go
@@ -3,7 +3,8 @@
 // This file finds out why a server is not a candidate for a request. A refusal logs
 // the counts, so that its cause can be read from the log alone: servers that are
 // unavailable, that leave, that asked for no requests for a time, that serve an old
-// version, that are full, that have stated a limit, or that would answer too late.
+// version, that are full, that have stated a limit, that would answer too late, or that have
+// room only for requests with a stricter target.
 
 import (
 	"slices"
@@ -23,6 +24,8 @@
 		Full     int
 		Limited  int
 		Slow     int
+		// Outranked servers have room only for requests with a stricter target.
+		Outranked int
 	}
 
 	// exclusion is the reason why a server is not a candidate for a request.
@@ -48,6 +51,8 @@
 	atLimit
 	// tooSlow means that the server would answer too late.
 	tooSlow
+	// outranked means that the server has room only for requests with a stricter target.
+	outranked
 )
 
 // CountCandidates counts the servers of the service by what excludes them for the
@@ -75,6 +80,8 @@
 			counts.Limited++
 		case tooSlow:
 			counts.Slow++
+		case outranked:
+			counts.Outranked++
 		}
 	}
 	return counts
@@ -82,7 +89,7 @@
 
 // Servers returns the total number of servers.
 func (counts CandidateCounts) Servers() int {
-	return counts.Usable + counts.Leaving + counts.Deferred + counts.Closed + counts.Tried + counts.Outdated + counts.Full + counts.Limited + counts.Slow
+	return counts.Usable + counts.Leaving + counts.Deferred + counts.Closed + counts.Tried + counts.Outdated + counts.Full + counts.Limited + counts.Slow + counts.Outranked
 }
 
 // IsStalled reports whether there are servers, but none can take requests at all, rather
@@ -90,7 +97,7 @@
 // wait for such servers does not depend on the number of requests that wait. If all servers
 // leave, those that replace them may be listed soon.
 func (counts CandidateCounts) IsStalled() bool {
-	if counts.Usable+counts.Full+counts.Limited+counts.Slow > 0 {
+	if counts.Usable+counts.Full+counts.Limited+counts.Slow+counts.Outranked > 0 {
 		return false
 	}
 	return counts.Closed+counts.Outdated > 0 || counts.Leaving > 0 && counts.Deferred == 0
@@ -132,6 +139,8 @@
 		return tooOld, predicted
 	case !inTime:
 		return tooSlow, predicted
+	case !fleet.leavesRoom(profile, state, requirements, now):
+		return outranked, predicted
 	default:
 		return eligible, predicted
 	}
--- a/lib/placements/dispatcher.go
+++ b/lib/placements/dispatcher.go
@@ -5,7 +5,12 @@
 // pass in the current time and act on the decision. The gateway drives it with the
 // wall clock, the bench's emulator with simulated time.
 
-import "time"
+import (
+	"slices"
+	"time"
+
+	"firford/lib/demands"
+)
 
 const (
 	// engineOvercommit is the number of requests beyond its slots that an engine is
@@ -38,6 +43,7 @@
 		queues       map[string]Queue
 		startRates   map[string]StartRate
 		retryBudgets map[string]RetryBudget
+		demands      map[string]demands.Demand
 		lastNumber   uint64
 	}
 
@@ -104,6 +110,7 @@
 	return &Dispatcher{
 		fleet: fleet, random: random,
 		queues: map[string]Queue{}, startRates: map[string]StartRate{}, retryBudgets: map[string]RetryBudget{},
+		demands: map[string]demands.Demand{},
 	}
 }
 
@@ -114,7 +121,7 @@
 func (dispatcher *Dispatcher) Admit(waiter Waiter, now time.Time) Decision {
 	service := waiter.Requirements.Service
 	ahead := dispatcher.queues[service].CountAhead(waiter)
-	if ahead == 0 {
+	if !dispatcher.isBlocked(waiter, ahead) {
 		if reservation := dispatcher.reserve(waiter.Requirements, now); reservation != nil {
 			return Placed{Reservation: reservation}
 		}
@@ -129,6 +136,19 @@
 	return Queued{Number: waiter.Number}
 }
 
+// isBlocked reports whether a request ahead of this one has to be placed before it. Those
+// for which the engines have no room while they are reserved for requests like this one do
+// not block it.
+func (dispatcher *Dispatcher) isBlocked(waiter Waiter, ahead int) bool {
+	service := waiter.Requirements.Service
+	if ahead == 0 || !dispatcher.fleet.hasRanks(service) {
+		return ahead > 0
+	}
+	return slices.ContainsFunc(dispatcher.queues[service].Waiters(), func(other Waiter) bool {
+		return !waiter.precedes(other) && !dispatcher.fleet.isReservedFor(waiter.Requirements.Kind, other.Requirements)
+	})
+}
+
 // isExhausted reports whether the request was already sent to all servers, so that no
 // wait helps it.
 func (dispatcher *Dispatcher) isExhausted(requirements Requirements, now time.Time) bool {
@@ -237,7 +257,8 @@
 }
 
 // Dispatch reserves servers for the requests queued for the service, in queue order.
-// It stops once maxPlacementFailures requests have found no server.
+// It stops once maxPlacementFailures requests have found no server. Requests that yield to
+// other kinds are counted apart, since those behind them may find one.
 func (dispatcher *Dispatcher) Dispatch(service string, now time.Time) []Grant {
 	waiters := dispatcher.queues[service].Waiters()
 	if len(waiters) == 0 {
@@ -248,9 +269,17 @@
 		return nil
 	}
 	var grants []Grant
-	failures := 0
+	failures, yielding := 0, 0
 	for _, waiter := range waiters {
+		yields := dispatcher.fleet.yields(waiter.Requirements)
+		if yields && yielding == maxPlacementFailures {
+			continue
+		}
 		reservation := dispatcher.reserveAmong(withRoom, waiter.Requirements, now)
+		if reservation == nil && yields {
+			yielding++
+			continue
+		}
 		if reservation == nil {
 			failures++
 			if failures == maxPlacementFailures {
@@ -322,8 +351,11 @@
 	}
 }
 
-// CountRequest adds a request of a caller to the retry budget of its service.
-func (dispatcher *Dispatcher) CountRequest(service string, now time.Time) {
+// CountRequest adds a request of a caller to the demand for its service and to the
+// service's retry budget.
+func (dispatcher *Dispatcher) CountRequest(service string, request demands.Request, now time.Time) {
+	dispatcher.demands[service] = dispatcher.demands[service].WithArrival(request, now)
+	dispatcher.fleet.SetTypicalRequests(service, dispatcher.demands[service].Typical(now))
 	dispatcher.retryBudgets[service] = dispatcher.retryBudgets[service].WithRequest(now)
 }
 
--- a/lib/placements/fleet.go
+++ b/lib/placements/fleet.go
@@ -11,6 +11,8 @@
 import (
 	"slices"
 	"time"
+
+	"firford/lib/demands"
 )
 
 const (
@@ -46,7 +48,9 @@
 	// Requirements describe what a request needs of a server. Tried lists the servers
 	// that the request was already sent to. Tokens is the length of its prompt.
 	// FirstEventBy is the deadline of its first event; Late is set if that can no longer
-	// be met. Resumed is set for a stream of which the caller already has events.
+	// be met. Resumed is set for a stream of which the caller already has events. Kind is
+	// zero for a request that was accepted before. BelowFloor is set if requests of the kind
+	// or of the organisation are started too rarely.
 	Requirements struct {
 		Service      string
 		Model        string
@@ -54,6 +58,9 @@
 		FirstEventBy time.Time
 		Late         bool
 		Resumed      bool
+		BelowFloor   bool
+		Kind         demands.Kind
+		Organisation string
 		Tried        []string
 	}
 
@@ -93,8 +100,11 @@
 		// predictionErrors holds, by service, the smoothed time by which first events came
 		// later than predicted.
 		predictionErrors map[string]time.Duration
-		servers          map[string]ServerState
-		byService        map[string][]string
+		// typical holds, by service, the typical requests of the kinds that use it, none
+		// unless their ranks differ.
+		typical   map[string][]demands.Typical
+		servers   map[string]ServerState
+		byService map[string][]string
 		// unfinished holds the counts of requests that still run at removed servers. Such a
 		// server may be listed again before they end.
 		unfinished map[string]ServerState
@@ -142,6 +152,7 @@
 		availability:     map[string]Availability{},
 		byService:        map[string][]string{},
 		predictionErrors: map[string]time.Duration{},
+		typical:          map[string][]demands.Typical{},
 	}
 }
 
--- a/lib/timelines/causes.go
+++ b/lib/timelines/causes.go
@@ -259,6 +259,7 @@
 		{"full", "full"},
 		{"limited", "at the limit that they stated"},
 		{"slow", "with too much to read before it"},
+		{"outranked", "with room only for requests with a stricter target"},
 		{"closed", "closed or changing version"},
 		{"leaving", "leaving"},
 		{"deferred", "that had asked for no requests for a time"},
