Show that requests in the queue of an entry that stops get no answer

Cause: the entry ends at its deadline, 7.6 s after SIGTERM, while requests that it has read wait in its admission queue; nothing refuses them. The script stops an entry beside a sound, busy server.

--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -20,6 +20,7 @@
 // cases are the scripts by name. Each returns whether the rule held.
 var cases = map[string]func(bed *testbed, trouble bool) (held bool, err error){
 	"keys": runKeys,
+	"stop": runStop,
 }
 
 func main() {
