Show that an entry that starts after a restore of the store ignores an evacuation

Cause: the started entry has read rows of the new epoch, without the evacuation that the others hold, and what agents tell does not count. The script kills one of two entries while the store comes back from a copy.

--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -19,8 +19,9 @@
 
 // cases are the scripts by name. Each returns whether the rule held.
 var cases = map[string]func(bed *testbed, trouble bool) (held bool, err error){
-	"keys": runKeys,
-	"stop": runStop,
+	"keys":       runKeys,
+	"evacuation": runEvacuation,
+	"stop":       runStop,
 }
 
 func main() {
--- a/review/standins/store.go
+++ b/review/standins/store.go
@@ -30,6 +30,10 @@
 		history []row
 		version int64
 		changed chan struct{}
+		// era counts how often the store came back from an older copy, and awayUntil is until
+		// when it turns all calls away.
+		era       int64
+		awayUntil time.Time
 	}
 )
 
@@ -45,7 +49,7 @@
 	mux.HandleFunc("GET /-/rows-feed", served.handleFeed)
 	mux.HandleFunc("GET /-/rows-parts", served.handleParts)
 	mux.HandleFunc("POST /-/rows-tx", served.handleTransaction)
-	go func() { _ = http.Serve(listener, mux) }()
+	go func() { _ = http.Serve(listener, served.withEra(mux)) }()
 	return served, nil
 }
 
@@ -61,6 +65,46 @@
 	return time.Now()
 }
 
+// withEra states the era in each answer, and turns calls away while the store is away.
+func (store *store) withEra(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		store.mutex.Lock()
+		era, isAway := store.era, time.Now().Before(store.awayUntil)
+		store.mutex.Unlock()
+		writer.Header().Set("Store-Era", strconv.FormatInt(era, 10))
+		if isAway {
+			writer.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		next.ServeHTTP(writer, request)
+	})
+}
+
+// newest returns the newest version.
+func (store *store) newest() int64 {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	return store.version
+}
+
+// restore takes the store back to the copy at the version. It is away for the duration
+// before that, and its open polls end.
+func (store *store) restore(version int64, away time.Duration) {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	kept := []row{}
+	for _, each := range store.history {
+		if each.Version <= version {
+			kept = append(kept, each)
+		}
+	}
+	store.history, store.version = kept, version
+	store.era++
+	store.awayUntil = time.Now().Add(away)
+	close(store.changed)
+	store.changed = make(chan struct{})
+}
+
 func (store *store) write(written row) {
 	store.version++
 	written.Version = store.version
@@ -118,8 +162,15 @@
 	since, _ := strconv.ParseInt(query.Get("sinceRevision"), 10, 64)
 	wait, _ := strconv.Atoi(query.Get("waitMs"))
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
+	store.mutex.Lock()
+	begunIn := store.era
+	store.mutex.Unlock()
 	for {
 		store.mutex.Lock()
+		if store.era != begunIn {
+			store.mutex.Unlock()
+			panic(http.ErrAbortHandler)
+		}
 		changes := []row{}
 		for _, each := range store.history {
 			if each.Table == query.Get("table") && each.Version > since {
@@ -128,6 +179,10 @@
 		}
 		version, changed := store.version, store.changed
 		store.mutex.Unlock()
+		if since > version {
+			store.answer(writer, http.StatusGone, map[string]any{"ver": version})
+			return
+		}
 		if len(changes) > 0 {
 			store.answer(writer, http.StatusOK, map[string]any{"rows": changes, "ver": version})
 			return
--- a/review/standins/testbed.go
+++ b/review/standins/testbed.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -16,8 +17,10 @@
 )
 
 const (
-	dataCentre = "ruaraka-hall"
-	region     = "nairobi"
+	dataCentre       = "ruaraka-hall"
+	region           = "nairobi"
+	secondDataCentre = "changamwe-hall"
+	secondRegion     = "mombasa"
 	// readyTimeout is how long an entry may take until it is ready.
 	readyTimeout = 15 * time.Second
 )
@@ -35,10 +38,16 @@
 		mutex   sync.Mutex
 		file    *os.File
 		entries []*entryProcess
+		// bounds are the bounds of the site that the settings hold.
+		bounds siteBounds
 	}
 
-	// entryProcess is an entry that this test started.
+	// siteBounds are bounds of a site in milliseconds.
+	siteBounds struct{ version, stableWindow, configApply int }
+
+	// entryProcess is an entry, or an agent, that this test started.
 	entryProcess struct {
+		program   string
 		bed       *testbed
 		name      string
 		ip        string
@@ -67,7 +76,8 @@
 	}
 	bed := &testbed{
 		repository: repository, folder: folder, file: file, began: time.Now(),
-		block: fmt.Sprintf("127.%d.%d.", 64+rand.IntN(128), rand.IntN(256)),
+		bounds: siteBounds{version: 8000, stableWindow: 3000, configApply: 2000},
+		block:  fmt.Sprintf("127.%d.%d.", 64+rand.IntN(128), rand.IntN(256)),
 	}
 	bed.store, err = startStore(bed.block + "7")
 	return bed, err
@@ -99,8 +109,13 @@
 	return listener.Addr().String(), nil
 }
 
-// startEntry starts an entry on the machine with the number.
-func (bed *testbed) startEntry(machine int, environment ...string) (*entryProcess, error) {
+// startEntry starts an entry on the machine with the number, in the first data centre.
+func (bed *testbed) startEntry(machine int) (*entryProcess, error) {
+	return bed.startEntryIn(dataCentre, region, machine)
+}
+
+// startEntryIn starts an entry on the machine with the number.
+func (bed *testbed) startEntryIn(dataCentre, region string, machine int) (*entryProcess, error) {
 	ip := bed.block + fmt.Sprint(machine)
 	callers, err := freePort(ip)
 	if err != nil {
@@ -110,9 +125,9 @@
 	if err != nil {
 		return nil, err
 	}
-	entry := &entryProcess{bed: bed, name: fmt.Sprintf("frontend-%s-%d", dataCentre, machine), ip: ip, callers: callers, readiness: readiness, stopTime: 8 * time.Second}
+	entry := &entryProcess{program: "entry", bed: bed, name: fmt.Sprintf("frontend-%s-%d", dataCentre, machine), ip: ip, callers: callers, readiness: readiness, stopTime: 8 * time.Second}
 	entry.settings = filepath.Join(bed.folder, entry.name+".ini")
-	text, err := bed.fillTemplate(entry)
+	text, err := bed.fillTemplate(entry, dataCentre, region)
 	if err != nil {
 		return nil, err
 	}
@@ -120,34 +135,51 @@
 		return nil, err
 	}
 	bed.entries = append(bed.entries, entry)
-	return entry, entry.start(environment...)
+	return entry, entry.start()
+}
+
+// startAgent starts an agent beside the engine at the address, on its machine.
+func (bed *testbed) startAgent(beside *server, service, dataCentre, region string) (*entryProcess, error) {
+	ip, _, _ := strings.Cut(beside.address, ":")
+	agent := &entryProcess{program: "agent", bed: bed, name: "side-" + beside.id, ip: ip}
+	agent.settings = filepath.Join(bed.folder, agent.name+".ini")
+	text, err := bed.fillTemplate(agent, dataCentre, region, "{{app}}", beside.address, "{{service}}", service, "{{limits.linkMbps}}", "7.3")
+	if err != nil {
+		return nil, err
+	}
+	if err := os.WriteFile(agent.settings, []byte(text), 0o600); err != nil {
+		return nil, err
+	}
+	bed.entries = append(bed.entries, agent)
+	return agent, agent.start()
 }
 
 // fillTemplate fills in the template of the deploy file as the platform does.
-func (bed *testbed) fillTemplate(entry *entryProcess) (string, error) {
-	template, err := os.ReadFile(filepath.Join(bed.repository, "deploy", "entry.ini"))
+func (bed *testbed) fillTemplate(entry *entryProcess, dataCentre, region string, others ...string) (string, error) {
+	template, err := os.ReadFile(filepath.Join(bed.repository, "deploy", entry.program+".ini"))
 	if err != nil {
 		return "", err
 	}
 	text, _, _ := strings.Cut(string(template), "{{#bounds.warmupOverage}}")
-	return strings.NewReplacer(
+	return strings.NewReplacer(append(others,
 		"{{nodeName}}", entry.name, "{{zone}}", dataCentre, "{{region}}", region,
-		"{{#zones}}{{@}}:{{.}}{{,}}{{/zones}}", dataCentre+":"+region,
+		"{{#zones}}{{@}}:{{.}}{{,}}{{/zones}}", dataCentre+":"+region+","+secondDataCentre+":"+secondRegion,
 		"{{ip}}", entry.ip, "{{listenersMap.frontend}}", entry.callers, "{{listenersMap.readiness}}", entry.readiness,
 		"{{internalPorts.0}}", "7700", "{{platform.address}}", bed.store.address,
-		"{{bounds.version_ms}}", "8000", "{{bounds.graceS}}", "8", "{{bounds.stableWindowMs}}", "3000", "{{bounds.configApplyMs}}", "2000",
-	).Replace(text), nil
+		"{{bounds.version_ms}}", strconv.Itoa(bed.bounds.version), "{{bounds.graceS}}", "8",
+		"{{bounds.stableWindowMs}}", strconv.Itoa(bed.bounds.stableWindow), "{{bounds.configApplyMs}}", strconv.Itoa(bed.bounds.configApply),
+	)...).Replace(text), nil
 }
 
 // start starts the process with the command of the deploy file.
-func (entry *entryProcess) start(environment ...string) error {
+func (entry *entryProcess) start() error {
 	log, err := os.OpenFile(entry.settings+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
-	command := exec.Command(filepath.Join(entry.bed.repository, "target", "entry"), "--routed")
+	command := exec.Command(filepath.Join(entry.bed.repository, "target", entry.program), "--routed")
 	command.Dir = entry.bed.repository
-	command.Env = append([]string{"PATH=" + os.Getenv("PATH"), "FIRFORD_BOOT=" + entry.settings}, environment...)
+	command.Env = []string{"PATH=" + os.Getenv("PATH"), "FIRFORD_BOOT=" + entry.settings}
 	command.Stdout, command.Stderr = log, log
 	if err := command.Start(); err != nil {
 		return err
