Show that an entry that starts after a restore of the store runs dropped keys

Cause: an entry that starts takes the first configuration that it reads for the newest, and nothing asks whether others know a newer one.

--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -22,6 +22,7 @@
 	"keys":       runKeys,
 	"evacuation": runEvacuation,
 	"stop":       runStop,
+	"restore":    runRestore,
 }
 
 func main() {
