Refuse waiting requests that a stopping entry can't answer

Cause: a wait was bounded by the caller's time alone. The end of the process was known to entry.stop only, so the queue went on to take requests, to let them wait for longer than the process had, and to pass them on too late.

A dispatcher that stops starts a request only if its whole answer is expected before the end (mean and deviation of the route's answer times as in RFC 6298, or the route's target), on arrival, in the queue and right before the send. The others are refused at once, or as soon as it is too late for them. Nothing of them was sent, so the refusal is true.

--- a/cmd/entry/routed/routed.go
+++ b/cmd/entry/routed/routed.go
@@ -199,7 +199,7 @@
 	deadline := time.Now().Add(entry.settings.ShutdownTimeout - shutdownMargin)
 	entry.logger.Info("stopping", zap.Int64("running", entry.gateway.InFlight()))
 	entry.draining.Store(true)
-	entry.gateway.BeginDrain()
+	entry.gateway.BeginDrain(deadline)
 	time.Sleep(drainAcceptTime)
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
--- a/lib/gateways/admission_queue.go
+++ b/lib/gateways/admission_queue.go
@@ -22,6 +22,10 @@
 // have room.
 const dispatchInterval = 5 * time.Millisecond
 
+// stopInterval is the pause between two looks at the waiting requests of an entry that
+// stops.
+const stopInterval = 50 * time.Millisecond
+
 type (
 	// AdmissionQueue makes reservations at backend servers for the requests of a
 	// gateway and queues the requests that have to wait. It is safe for concurrent use.
@@ -218,6 +222,8 @@
 		return reasonNoAllowedServer
 	case placements.AllEvacuated:
 		return reasonEvacuated
+	case placements.Stopping:
+		return reasonStopping
 	default:
 		return otherwise
 	}
@@ -268,6 +274,27 @@
 	}
 }
 
+// stop refuses the waiting requests that can't be answered before this entry ends, and goes
+// on to do so until then.
+func (queue *AdmissionQueue) stop(endsAt time.Time) {
+	queue.mutex.Lock()
+	defer queue.mutex.Unlock()
+	queue.deliverRefusals(queue.dispatcher.Stop(endsAt, time.Now()))
+	time.AfterFunc(stopInterval, func() { queue.refuseTooLate(endsAt) })
+}
+
+// refuseTooLate refuses the waiting requests that can't be answered any more before this
+// entry ends. It calls itself until none can wait.
+func (queue *AdmissionQueue) refuseTooLate(endsAt time.Time) {
+	queue.mutex.Lock()
+	defer queue.mutex.Unlock()
+	now := time.Now()
+	queue.deliverRefusals(queue.dispatcher.RefuseTooLate(now))
+	if now.Before(endsAt) {
+		time.AfterFunc(stopInterval, func() { queue.refuseTooLate(endsAt) })
+	}
+}
+
 // endWait passes the end of its wait to a request. The caller holds the mutex.
 func (queue *AdmissionQueue) endWait(number uint64, end waitEnd) {
 	queue.waits[number] <- end
--- a/lib/gateways/gateway.go
+++ b/lib/gateways/gateway.go
@@ -40,9 +40,6 @@
 	// unconfiguredRetryAfter is the delay after which callers should retry at a
 	// gateway that has no configuration yet.
 	unconfiguredRetryAfter = 300 * time.Millisecond
-	// stoppingRetryAfter is the delay after which callers should retry, at another gateway,
-	// if this one stops.
-	stoppingRetryAfter = 50 * time.Millisecond
 )
 
 type (
@@ -147,8 +144,12 @@
 }
 
 // BeginDrain makes the gateway close each connection after its next answer, so
-// that callers open new connections, which can reach another gateway.
-func (gateway *Gateway) BeginDrain() { gateway.draining.Store(true) }
+// that callers open new connections, which can reach another gateway. From now on it sends
+// a request to a server only if its answer is expected before endsAt, and refuses the others.
+func (gateway *Gateway) BeginDrain(endsAt time.Time) {
+	gateway.draining.Store(true)
+	gateway.Queue.stop(endsAt)
+}
 
 // InFlight returns the number of requests that are being served.
 func (gateway *Gateway) InFlight() int64 { return gateway.inFlight.Load() }
@@ -247,7 +248,7 @@
 		return
 	}
 	if request.gateway.isStopped(request.arrivedAt) {
-		request.refuse(reasonStopping, stoppingRetryAfter)
+		request.refuse(reasonStopping, placements.StoppingRetryAfter)
 		return
 	}
 	match, err := request.matchIn(table)
@@ -343,7 +344,7 @@
 func (request *request) waiter() placements.Waiter {
 	startBy, late := request.placementDeadline()
 	requirements := placements.Requirements{
-		Service: request.service, Model: request.info.Model, Tried: request.triedServers, Tokens: request.info.PromptTokens,
+		Service: request.service, Route: request.match.Route.Name, Target: request.target(), Model: request.info.Model, Tried: request.triedServers, Tokens: request.info.PromptTokens,
 		FirstEventBy: request.firstArrivedAt.Add(request.target()), Late: late,
 		Kind: request.kind(), Rank: request.match.Rank(), Organisation: request.match.Organisation.Name, Regions: request.homeRegions(),
 	}
--- a/lib/gateways/home_regions.go
+++ b/lib/gateways/home_regions.go
@@ -36,6 +36,8 @@
 		return "not_in_allowed_region"
 	case placements.InEvacuatedDataCentre:
 		return "evacuated"
+	case placements.EntryStops:
+		return "entry_stops"
 	default:
 		return "unknown"
 	}
--- a/lib/placements/dispatcher.go
+++ b/lib/placements/dispatcher.go
@@ -48,7 +48,10 @@
 		retryBudgets map[string]RetryBudget
 		demands      map[string]demands.Demand
 		meters       map[string]shares.Meter
+		answerTimes  map[string]answerTime
 		lastNumber   uint64
+		// endsAt is when this entry ends, zero unless it stops.
+		endsAt time.Time
 	}
 
 	// Reservation is the capacity of a server that is reserved for one request.
@@ -71,6 +74,9 @@
 		UsualTime  time.Duration
 		PaceFactor float64
 		stage      warmupStage
+
+		startedAt time.Time
+		answers   answerKind
 	}
 
 	// Decision is the result of admission. The variants are sealed.
@@ -133,6 +139,8 @@
 	// AllEvacuated means that all servers that the request may be sent to are in evacuated
 	// data centres.
 	AllEvacuated
+	// Stopping means that this entry ends before the request would be answered.
+	Stopping
 )
 
 func (Placed) isDecision()  {}
@@ -146,7 +154,7 @@
 		fleet: fleet, random: random,
 		queues: map[string]Queue{}, startRates: map[string]StartRate{}, retryBudgets: map[string]RetryBudget{},
 		demands: map[string]demands.Demand{},
-		meters:  map[string]shares.Meter{},
+		meters:  map[string]shares.Meter{}, answerTimes: map[string]answerTime{},
 	}
 }
 
@@ -161,6 +169,9 @@
 	service := waiter.Requirements.Service
 	waiter = dispatcher.withFloors(waiter, now)
 	ahead := dispatcher.queues[service].CountAhead(waiter)
+	if dispatcher.isTooLate(waiter.Requirements.answers(), now) {
+		return dispatcher.stoppingRefusal(waiter.Requirements, ahead, now)
+	}
 	if !dispatcher.isBlocked(waiter, ahead) {
 		exclusions := dispatcher.fleet.cold.exclusions
 		if reservation := dispatcher.reserve(waiter.Requirements, now); reservation != nil {
@@ -174,6 +185,9 @@
 	if now.Add(wait).After(waiter.StartBy) || dispatcher.isExhausted(waiter.Requirements, now) {
 		return dispatcher.newRefusal(waiter.Requirements, ahead, wait, now)
 	}
+	if dispatcher.isTooLate(waiter.Requirements.answers(), now.Add(wait)) {
+		return dispatcher.stoppingRefusal(waiter.Requirements, ahead, now)
+	}
 	dispatcher.lastNumber++
 	waiter.Number = dispatcher.lastNumber
 	dispatcher.queues[service] = dispatcher.queues[service].With(waiter)
@@ -315,6 +329,7 @@
 		Server: choice.Server, Number: dispatcher.lastNumber, Tokens: requirements.Tokens, Predicted: choice.Predicted,
 		Unlisted: choice.Unlisted, Limited: choice.Limited, Ranked: dispatcher.fleet.hasRanks(requirements.Service),
 		UsualTime: choice.UsualTime, PaceFactor: choice.PaceFactor,
+		startedAt: now, answers: requirements.answers(),
 	}
 	dispatcher.fleet.RecordStart(choice.Server.ID, requirements.Tokens, now)
 	reservation.stage = dispatcher.fleet.reserveStart(choice.Server.ID)
@@ -373,6 +388,9 @@
 // Release ends a reservation with the outcome of its request.
 func (dispatcher *Dispatcher) Release(reservation *Reservation, outcome Outcome, now time.Time) {
 	reservation.stage = dispatcher.fleet.cancelStart(reservation.Server.ID, reservation.stage)
+	if outcome == Answered {
+		dispatcher.recordAnswerTime(reservation, now)
+	}
 	dispatcher.fleet.RecordEnd(reservation.Server.ID, outcome, now)
 }
 
@@ -410,6 +428,9 @@
 // the reservation was made, given the home regions that apply to it now. With the
 // permission, it counts as being sent until RecordSent or Release.
 func (dispatcher *Dispatcher) PermissionToSend(reservation *Reservation, allowed regions.Set, now time.Time) Permission {
+	if dispatcher.isTooLate(reservation.answers, now) {
+		return MayNotSend{Cause: EntryStops}
+	}
 	if permission, isForbidden := dispatcher.fleet.placePermission(reservation.Server, allowed).(MayNotSend); isForbidden {
 		return permission
 	}
--- a/lib/placements/fleet.go
+++ b/lib/placements/fleet.go
@@ -55,9 +55,11 @@
 	// zero for a request that was accepted before. BelowFloor is set if requests of the kind
 	// or of the organisation are started too rarely, and IdleOnly if those of the kind are
 	// started more often than more urgent ones. Regions are those in which the request may be
-	// served.
+	// served. Route and Target are the name and the target of the request's route.
 	Requirements struct {
 		Service      string
+		Route        string
+		Target       time.Duration
 		Model        string
 		Tokens       int
 		FirstEventBy time.Time
--- a/lib/placements/home_regions.go
+++ b/lib/placements/home_regions.go
@@ -23,6 +23,8 @@
 	NotInAllowedRegion ForbiddenCause = iota
 	// InEvacuatedDataCentre servers are in an evacuated data centre.
 	InEvacuatedDataCentre
+	// EntryStops means that this entry ends before the request would be answered.
+	EntryStops
 )
 
 func (MayNotSend) isPermission() {}
