Answer the requests that still run when a stopping entry ends

Callers saw: an entry that was told to stop closed their connections without any answer if servers still worked on their requests at the end of its time.

Cause: Shutdown returned at its deadline, and the process ended with the handlers of these requests still in it.

Ruled out: answers that were written and lost (no line "request ended" was logged for such requests), and servers that closed the connections (they worked for 8 s more in the test).

Change: when its context ends, Shutdown ends the contexts of all requests with a cause of their own, and waits up to 300 ms, within the 400 ms that the entry reserves, until their answers are written: 502 with the reason "entry stopped" for those that a server has, 503 for the others. A stream that has begun is still cut, so that it can't look complete.

--- a/cmd/entry/routed/routed.go
+++ b/cmd/entry/routed/routed.go
@@ -81,8 +81,8 @@
 	// covers two readiness probes of the balancer.
 	drainAcceptTime = 2300 * time.Millisecond
 	// shutdownMargin is the part of the shutdown timeout that is reserved for the last
-	// answers.
-	shutdownMargin = 400 * time.Millisecond
+	// answers and for the end of the process.
+	shutdownMargin = gateways.LastAnswerTime + 100*time.Millisecond
 )
 
 // tableStore is the part of the platform's store that an entry uses.
--- a/lib/gateways/gateway.go
+++ b/lib/gateways/gateway.go
@@ -78,6 +78,9 @@
 		// refuseFrom is the Unix time in nanoseconds from which a gateway that stops refuses
 		// requests, zero before.
 		refuseFrom atomic.Int64
+		// ending ends when the process is about to end, by endRequests.
+		ending      context.Context
+		endRequests context.CancelCauseFunc
 	}
 )
 
@@ -113,6 +116,7 @@
 // New returns a gateway that has not started to serve yet.
 func New(dependencies Dependencies) *Gateway {
 	gateway := &Gateway{Dependencies: dependencies, pool: newPool(), callerTimeouts: newCallerTimeouts(), bufferBudget: &bufferBudget{}, metrics: newGatewayMetrics(dependencies.Scope), sampler: newSampler(), unreadableLog: rate.Sometimes{Interval: unreadableLogInterval}, callerConns: &callerConns{open: map[net.Conn]connState{}}}
+	gateway.ending, gateway.endRequests = context.WithCancelCause(context.Background())
 	gateway.server = &http.Server{
 		Handler:           gateway,
 		ReadHeaderTimeout: headerTimeout,
@@ -267,7 +271,7 @@
 	if !request.readBody(table.Limits().BodyBytes) {
 		return
 	}
-	ctx, cancel := context.WithDeadline(request.received.Context(), request.deadline.Add(answerMargin))
+	ctx, cancel := request.context()
 	defer cancel()
 	request.gateway.Queue.countRequest(request.service, request.demand())
 	request.countRanked(rankedArrived)
@@ -281,6 +285,15 @@
 	request.forwardWithRetries(ctx)
 }
 
+// context returns a context that ends answerMargin after the deadline of the request, when
+// its caller leaves, or when the process is about to end.
+func (request *request) context() (context.Context, func()) {
+	ctx, cancel := context.WithDeadline(request.received.Context(), request.deadline.Add(answerMargin))
+	ctx, end := context.WithCancelCause(ctx)
+	detach := context.AfterFunc(request.gateway.ending, func() { end(context.Cause(request.gateway.ending)) })
+	return ctx, func() { detach(); end(nil); cancel() }
+}
+
 // answerDeadline returns by when the request must be answered: the caller's
 // deadline or the end of the route's timeout, whichever comes first.
 func (request *request) answerDeadline() time.Time {
--- a/lib/gateways/reasons.go
+++ b/lib/gateways/reasons.go
@@ -30,6 +30,7 @@
 	// The request may have run.
 	reasonAnswerLost   reason = "answer lost"
 	reasonNoServerLeft reason = "no server left"
+	reasonStopped      reason = "entry stopped"
 	// The caller's connection ended or the request could not be read from it.
 	reasonRequestNotRead reason = "request not read"
 	reasonCallerLeft     reason = "caller left"
@@ -38,5 +39,5 @@
 // allReasons lists all reasons for tests that require an explanation of each.
 var allReasons = []reason{
 	reasonNoConfiguration, reasonStopping, reasonQueueTooLong, reasonNoPlaceInTime, reasonNoAllowedServer, reasonEvacuated, reasonDeadline, reasonTurnedAway, reasonNotReached, reasonQuarantinedPart, reasonQuarantinedRequest,
-	reasonNoRoute, reasonUnknownKey, reasonTooLarge, reasonAnswerLost, reasonNoServerLeft, reasonRequestNotRead, reasonCallerLeft,
+	reasonNoRoute, reasonUnknownKey, reasonTooLarge, reasonAnswerLost, reasonNoServerLeft, reasonStopped, reasonRequestNotRead, reasonCallerLeft,
 }
--- a/lib/gateways/reasons_test.go
+++ b/lib/gateways/reasons_test.go
@@ -102,6 +102,11 @@
 		record(fixture, func() { disconnectDuringRequest(t, fixture, "/once/", 0) })
 		fixture = newGatewayFixture(t, 1, newScriptedServer(t, hang))
 		record(fixture, func() { occupyOnlySlot(t, fixture); fixture.post(t, "/once/", "") })
+		fixture = newGatewayFixture(t, 1, newScriptedServer(t, hang))
+		record(fixture, func() {
+			time.AfterFunc(50*time.Millisecond, func() { fixture.stopAfter(50 * time.Millisecond) })
+			fixture.post(t, "/once/", "")
+		})
 
 		slices.Sort(texts)
 		all := strings.Join(texts, "")
--- a/lib/gateways/retries.go
+++ b/lib/gateways/retries.go
@@ -160,13 +160,21 @@
 		}
 	default:
 		if !request.match.Route.MayRetry() || !request.mayRetry(ctx) {
-			request.fail(reasonAnswerLost)
+			request.fail(lostReason(ctx))
 			return true
 		}
 	}
 	return false
 }
 
+// lostReason returns why the answer to a request got lost.
+func lostReason(ctx context.Context) reason {
+	if errors.Is(context.Cause(ctx), errEnding) {
+		return reasonStopped
+	}
+	return reasonAnswerLost
+}
+
 // acquire returns a reservation for the request. A request that got none in time for
 // its target because no server can take requests at the moment goes on waiting as a
 // late one: its caller would otherwise come back to the same servers, with less time
@@ -197,6 +205,8 @@
 	case refusal != nil && !request.mayHaveRun && !request.streaming:
 		request.countRanked(rankedRefused)
 		request.refuse(refusal.reason, refusal.RetryAfter)
+	case errors.Is(err, errEnding):
+		request.endStopping()
 	case errors.Is(err, context.Canceled):
 		request.endDisconnected()
 	case !request.mayHaveRun && !request.streaming && ctx.Err() != nil:
@@ -206,6 +216,15 @@
 	}
 }
 
+// endStopping ends a request that has no server when the process is about to end.
+func (request *request) endStopping() {
+	if request.mayHaveRun || request.streaming {
+		request.fail(reasonStopped)
+		return
+	}
+	request.refuse(reasonStopping, placements.StoppingRetryAfter)
+}
+
 // endDisconnected ends a request whose caller has disconnected.
 func (request *request) endDisconnected() {
 	request.recordOwnEnd(0, reasonCallerLeft)
--- a/lib/gateways/shutdown.go
+++ b/lib/gateways/shutdown.go
@@ -5,7 +5,8 @@
 // request may have arrived and not have been read yet, and its caller would lose it. So a
 // connection is closed by an answer that says so, or after it has been quiet for a while
 // with nothing left to read. For the same reason, all connections that callers have opened
-// are accepted before the listener is closed.
+// are accepted before the listener is closed. Whatever has not ended by then is answered:
+// as not run, or as a request whose outcome is unknown.
 
 import (
 	"context"
@@ -32,8 +33,14 @@
 	// maxAcceptTime how long it accepts any: callers may go on to open new ones.
 	lastAcceptTime = 20 * time.Millisecond
 	maxAcceptTime  = 200 * time.Millisecond
+	// LastAnswerTime is how long after the end of its context Shutdown may go on to answer
+	// the requests that are left.
+	LastAnswerTime = 300 * time.Millisecond
 )
 
+// errEnding is the error of requests that have not ended when the process is about to end.
+var errEnding = errors.New("the process is about to end")
+
 type (
 	// callerConn is the connection of a caller. readAt is the Unix time in nanoseconds at
 	// which bytes were last read from it.
@@ -161,8 +168,9 @@
 	return refuseFrom != 0 && now.UnixNano() >= refuseFrom
 }
 
-// Shutdown stops accepting connections, and waits until all connections have ended or the
-// context ends.
+// Shutdown stops accepting connections, and waits until all connections have ended. When the
+// context ends before, it answers the requests that are left, within LastAnswerTime, and
+// returns the error of the context.
 func (gateway *Gateway) Shutdown(ctx context.Context) error {
 	gateway.draining.Store(true)
 	stoppedAt := time.Now()
@@ -172,13 +180,25 @@
 		select {
 		case <-listener.stopped:
 		case <-ctx.Done():
-			return ctx.Err()
 		}
 	}
+	if !gateway.awaitConns(ctx, stoppedAt) {
+		gateway.endRequests(errEnding)
+		last, cancel := context.WithTimeout(context.WithoutCancel(ctx), LastAnswerTime)
+		defer cancel()
+		gateway.awaitConns(last, stoppedAt)
+		return ctx.Err()
+	}
+	return gateway.server.Shutdown(ctx)
+}
+
+// awaitConns closes quiet connections until none is left, and returns false if the context
+// ends before.
+func (gateway *Gateway) awaitConns(ctx context.Context, stoppedAt time.Time) bool {
 	for gateway.callerConns.closeQuiet(stoppedAt, time.Now()) > 0 {
 		if !waits.Sleep(ctx, closeInterval) {
-			return ctx.Err()
+			return false
 		}
 	}
-	return gateway.server.Shutdown(ctx)
+	return true
 }
--- a/lib/timelines/causes.go
+++ b/lib/timelines/causes.go
@@ -215,6 +215,7 @@
 	"body too large":                  "rejected: the body is over the configuration's limit",
 	"answer lost":                     "failed: it may have run, so it is not sent again, or all allowed attempts are used",
 	"no server left":                  "failed: it may have run, and no other server could take it",
+	"entry stopped":                   "failed: it may have run, and the entry that held it ended",
 	"request not read":                "the caller broke off or was too slow while it sent the request",
 	"caller left":                     "the caller closed its connection",
 }
