Refuse requests once the last key of all organisations is taken away

Cause: Table.Match took a table without keys for a configuration without tenants, since the adapter passed on the keys only.

Ruled out: an older version in force (the invented key ran too, which no version had allowed) and a request that was let through before the change (all were sent 4 s after it).

Change: routes.Configuration states whether requests need a key. An empty key matches no request.

--- a/lib/routes/routes.go
+++ b/lib/routes/routes.go
@@ -121,23 +121,27 @@
 		BodyBytes   int64
 	}
 
-	// Configuration is one accepted version of the operator's configuration.
+	// Configuration is one accepted version of the operator's configuration. RequiresKey is
+	// set if callers belong to organisations, also if none of these has a key: the requests
+	// on all routes that are not public then need one. Keys require one by themselves.
 	Configuration struct {
-		Version  int64
-		Routes   []Route
-		Services []Service
-		Keys     map[string]Organisation
-		Limits   Limits
+		Version     int64
+		Routes      []Route
+		Services    []Service
+		RequiresKey bool
+		Keys        map[string]Organisation
+		Limits      Limits
 	}
 
 	// Table maps requests to routes and organisations. It is immutable and safe for
 	// concurrent use; the zero value has no routes.
 	Table struct {
-		version  int64
-		hosts    map[string][]Route
-		services map[string]Service
-		keys     map[string]Organisation
-		limits   Limits
+		version     int64
+		hosts       map[string][]Route
+		services    map[string]Service
+		requiresKey bool
+		keys        map[string]Organisation
+		limits      Limits
 		// engineDigest covers the engines and origins.
 		engineDigest uint64
 	}
@@ -153,11 +157,12 @@
 // New builds the table of a configuration.
 func New(configuration Configuration) Table {
 	table := Table{
-		version:  configuration.Version,
-		hosts:    map[string][]Route{},
-		services: map[string]Service{},
-		keys:     configuration.Keys,
-		limits:   configuration.Limits,
+		version:     configuration.Version,
+		hosts:       map[string][]Route{},
+		services:    map[string]Service{},
+		requiresKey: configuration.RequiresKey || len(configuration.Keys) > 0,
+		keys:        configuration.Keys,
+		limits:      configuration.Limits,
 	}
 	for _, route := range configuration.Routes {
 		host := strings.ToLower(route.Host)
@@ -248,18 +253,18 @@
 }
 
 // Match finds the route of a request by its host and the longest prefix of its
-// path, and the organisation by its key. It returns ErrNoRoute or ErrUnknownKey if
+// path, and the organisation by its key. An empty key stands for none. It returns ErrNoRoute or ErrUnknownKey if
 // there is none.
 func (table Table) Match(host, path, key string) (Match, error) {
 	route, found := table.route(host, path)
 	if !found {
 		return Match{}, ErrNoRoute
 	}
-	if route.Public || len(table.keys) == 0 {
+	if route.Public || !table.requiresKey {
 		return Match{Route: route, Organisation: Organisation{Priority: DefaultPriority}}, nil
 	}
 	organisation, known := table.keys[key]
-	if !known {
+	if !known || key == "" {
 		return Match{}, ErrUnknownKey
 	}
 	return Match{Route: route, Organisation: organisation}, nil
--- a/lib/routes/routes_test.go
+++ b/lib/routes/routes_test.go
@@ -53,6 +53,32 @@
 	})
 }
 
+// Guards against requests that run with a revoked, an invented or no key, once the last key
+// of all organisations is taken away: that must not look like a configuration without
+// organisations.
+func TestMatchChecksTheKeyWithoutAnyKey(t *testing.T) {
+	open := Route{Name: "open", Host: "desk.example", Prefix: "/open/", Public: true}
+	closed := Route{Name: "short", Host: "desk.example", Prefix: "/a/"}
+	convey.Convey("Given organisations none of which has a key", t, func() {
+		withoutKeys := New(Configuration{Version: 8, Routes: []Route{open, closed}, RequiresKey: true})
+		for _, key := range []string{"revoked", ""} {
+			_, err := withoutKeys.Match("desk.example", "/a/", key)
+			convey.So(err, convey.ShouldEqual, ErrUnknownKey)
+		}
+		_, err := withoutKeys.Match("desk.example", "/open/", "")
+		convey.So(err, convey.ShouldBeNil)
+	})
+	convey.Convey("Given a configuration without organisations, requests need no key", t, func() {
+		_, err := New(Configuration{Version: 8, Routes: []Route{closed}}).Match("desk.example", "/a/", "")
+		convey.So(err, convey.ShouldBeNil)
+	})
+	convey.Convey("Given an organisation with an empty key, requests without a key are still refused", t, func() {
+		withEmptyKey := New(Configuration{Version: 8, Routes: []Route{closed}, RequiresKey: true, Keys: map[string]Organisation{"": {Name: "buyers"}}})
+		_, err := withEmptyKey.Match("desk.example", "/a/", "")
+		convey.So(err, convey.ShouldEqual, ErrUnknownKey)
+	})
+}
+
 // Guards against a route's priority that overrides the organisation's, and against an
 // organisation's that leaves the route's without effect.
 func TestRankComparesTheOrganisationThenTheRoute(t *testing.T) {
