Name the kind of an answer, and allow a margin for answers of equal length

Read as a newcomer: "answers" named a method, a field and an argument that hold what tells how long an answer takes; they are named answerKind now. Two constants stand in one block, and two long lines of comments are broken.

Answers that all take the same time have no deviation, so that the last request would start exactly one mean before the end of the entry. RFC 6298 has a lowest margin for this reason; it is 100 ms here. lib/placements TestStoppingEntryStartsWhatItCanAnswer passes with the same bounds.

--- a/lib/gateways/admission_queue.go
+++ b/lib/gateways/admission_queue.go
@@ -16,15 +16,16 @@
 	"firford/lib/placements"
 )
 
-// dispatchInterval is the shortest time between two passes over the waiting requests
-// that changes of the fleet trigger. In a large fleet there are thousands of reports a
-// second, and a pass looks at all servers and compares several requests with those that
-// have room.
-const dispatchInterval = 5 * time.Millisecond
-
-// stopInterval is the pause between two looks at the waiting requests of an entry that
-// stops.
-const stopInterval = 50 * time.Millisecond
+const (
+	// dispatchInterval is the shortest time between two passes over the waiting requests
+	// that changes of the fleet trigger. In a large fleet there are thousands of reports a
+	// second, and a pass looks at all servers and compares several requests with those that
+	// have room.
+	dispatchInterval = 5 * time.Millisecond
+	// stopInterval is the pause between two looks at the waiting requests of an entry that
+	// stops.
+	stopInterval = 50 * time.Millisecond
+)
 
 type (
 	// AdmissionQueue makes reservations at backend servers for the requests of a
--- a/lib/placements/dispatcher.go
+++ b/lib/placements/dispatcher.go
@@ -75,8 +75,8 @@
 		PaceFactor float64
 		stage      warmupStage
 
-		startedAt time.Time
-		answers   answerKind
+		startedAt  time.Time
+		answerKind answerKind
 	}
 
 	// Decision is the result of admission. The variants are sealed.
@@ -169,7 +169,7 @@
 	service := waiter.Requirements.Service
 	waiter = dispatcher.withFloors(waiter, now)
 	ahead := dispatcher.queues[service].CountAhead(waiter)
-	if dispatcher.isTooLate(waiter.Requirements.answers(), now) {
+	if dispatcher.isTooLate(waiter.Requirements.answerKind(), now) {
 		return dispatcher.stoppingRefusal(waiter.Requirements, ahead, now)
 	}
 	if !dispatcher.isBlocked(waiter, ahead) {
@@ -185,7 +185,7 @@
 	if now.Add(wait).After(waiter.StartBy) || dispatcher.isExhausted(waiter.Requirements, now) {
 		return dispatcher.newRefusal(waiter.Requirements, ahead, wait, now)
 	}
-	if dispatcher.isTooLate(waiter.Requirements.answers(), now.Add(wait)) {
+	if dispatcher.isTooLate(waiter.Requirements.answerKind(), now.Add(wait)) {
 		return dispatcher.stoppingRefusal(waiter.Requirements, ahead, now)
 	}
 	dispatcher.lastNumber++
@@ -329,7 +329,7 @@
 		Server: choice.Server, Number: dispatcher.lastNumber, Tokens: requirements.Tokens, Predicted: choice.Predicted,
 		Unlisted: choice.Unlisted, Limited: choice.Limited, Ranked: dispatcher.fleet.hasRanks(requirements.Service),
 		UsualTime: choice.UsualTime, PaceFactor: choice.PaceFactor,
-		startedAt: now, answers: requirements.answers(),
+		startedAt: now, answerKind: requirements.answerKind(),
 	}
 	dispatcher.fleet.RecordStart(choice.Server.ID, requirements.Tokens, now)
 	reservation.stage = dispatcher.fleet.reserveStart(choice.Server.ID)
@@ -428,7 +428,7 @@
 // the reservation was made, given the home regions that apply to it now. With the
 // permission, it counts as being sent until RecordSent or Release.
 func (dispatcher *Dispatcher) PermissionToSend(reservation *Reservation, allowed regions.Set, now time.Time) Permission {
-	if dispatcher.isTooLate(reservation.answers, now) {
+	if dispatcher.isTooLate(reservation.answerKind, now) {
 		return MayNotSend{Cause: EntryStops}
 	}
 	if permission, isForbidden := dispatcher.fleet.placePermission(reservation.Server, allowed).(MayNotSend); isForbidden {
--- a/lib/placements/stops.go
+++ b/lib/placements/stops.go
@@ -14,6 +14,9 @@
 	answerTimeWeight      = 1.0 / 8
 	answerDeviationWeight = 1.0 / 4
 	answerDeviations      = 4
+	// minAnswerMargin is added to the mean at least. Answers that all take the same time have
+	// no deviation.
+	minAnswerMargin = 100 * time.Millisecond
 	// maxAnswerTimes bounds the routes whose answers are remembered.
 	maxAnswerTimes = 4096
 	// StoppingRetryAfter is the delay after which callers should retry, at another entry, if
@@ -29,7 +32,7 @@
 	isResumed bool
 }
 
-func (requirements Requirements) answers() answerKind {
+func (requirements Requirements) answerKind() answerKind {
 	return answerKind{route: requirements.Route, target: requirements.Target, isResumed: requirements.Resumed}
 }
 
@@ -53,14 +56,14 @@
 	if known.mean == 0 {
 		return otherwise
 	}
-	return known.mean + answerDeviations*known.deviation
+	return known.mean + max(minAnswerMargin, answerDeviations*known.deviation)
 }
 
 // recordAnswerTime records that an answer ended, counted from the start of its request.
 // What is left of a resumed stream tells nothing about whole answers.
 func (dispatcher *Dispatcher) recordAnswerTime(reservation *Reservation, now time.Time) {
-	route := reservation.answers.route
-	if reservation.answers.isResumed {
+	route := reservation.answerKind.route
+	if reservation.answerKind.isResumed {
 		return
 	}
 	if _, isKnown := dispatcher.answerTimes[route]; !isKnown && len(dispatcher.answerTimes) >= maxAnswerTimes {
@@ -91,7 +94,7 @@
 	var refusals []Refusal
 	for service, queue := range dispatcher.queues {
 		for ahead, waiter := range queue.Waiters() {
-			if !dispatcher.isTooLate(waiter.Requirements.answers(), startAt(waiter, ahead)) {
+			if !dispatcher.isTooLate(waiter.Requirements.answerKind(), startAt(waiter, ahead)) {
 				continue
 			}
 			dispatcher.Remove(service, waiter.Number)
@@ -104,12 +107,12 @@
 // isTooLate reports whether a request that starts then is not expected to be answered
 // before this entry ends. A stream in progress has less left than a whole answer, and is
 // continued until the end.
-func (dispatcher *Dispatcher) isTooLate(answers answerKind, startAt time.Time) bool {
+func (dispatcher *Dispatcher) isTooLate(kind answerKind, startAt time.Time) bool {
 	if dispatcher.endsAt.IsZero() {
 		return false
 	}
-	if !answers.isResumed {
-		startAt = startAt.Add(dispatcher.answerTimes[answers.route].most(answers.target))
+	if !kind.isResumed {
+		startAt = startAt.Add(dispatcher.answerTimes[kind.route].most(kind.target))
 	}
 	return !startAt.Before(dispatcher.endsAt)
 }
--- a/lib/routes/routes.go
+++ b/lib/routes/routes.go
@@ -253,8 +253,8 @@
 }
 
 // Match finds the route of a request by its host and the longest prefix of its
-// path, and the organisation by its key. An empty key stands for none. It returns ErrNoRoute or ErrUnknownKey if
-// there is none.
+// path, and the organisation by its key. An empty key stands for none. It returns
+// ErrNoRoute or ErrUnknownKey if there is none.
 func (table Table) Match(host, path, key string) (Match, error) {
 	route, found := table.route(host, path)
 	if !found {
