--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -22,6 +22,7 @@
 	cases := map[string]func(*testbed) (bool, error){
 		"large-bodies": runLargeBodies,
 		"cold-return":  runColdReturn,
+		"descriptors":  runDescriptors,
 	}
 	run, found := cases[os.Args[1]]
 	if !found {
--- a/review/standins-2/process.go
+++ b/review/standins-2/process.go
@@ -123,6 +123,24 @@
 	process.wait(5 * time.Second)
 }
 
+// cpuTime returns the processor time that the process has used, in hundredths of a second as
+// the kernel reports it.
+func (process *process) cpuTime() time.Duration {
+	process.mutex.Lock()
+	defer process.mutex.Unlock()
+	if process.command == nil {
+		return 0
+	}
+	stat, err := os.ReadFile("/proc/" + strconv.Itoa(process.command.Process.Pid) + "/stat")
+	if err != nil {
+		return 0
+	}
+	fields := strings.Fields(string(stat[strings.LastIndex(string(stat), ")")+1:]))
+	user, _ := strconv.Atoi(fields[11])
+	system, _ := strconv.Atoi(fields[12])
+	return time.Duration(user+system) * 10 * time.Millisecond
+}
+
 // residentBytes returns the memory of the process that is in use, zero if it has ended.
 func (process *process) residentBytes() int64 {
 	process.mutex.Lock()
