--- a/review/standins-2/descriptors.go
+++ b/review/standins-2/descriptors.go
@@ -126,7 +126,10 @@
 				most.Store(open.Load())
 			}
 			defer open.Add(-1)
-			if status := ask(conn, fmt.Sprintf("m-%d", number)); status == 0 {
+			id := fmt.Sprintf("m-%d", number)
+			status := ask(conn, id)
+			testbed.recordf("request %s: status %d", id, status)
+			if status == 0 {
 				unanswered.Add(1)
 				return
 			}
@@ -167,6 +170,7 @@
 	statuses := map[int]int{}
 	for number := range changedCount {
 		got := testbed.send(testbed.entryAddress(0), "POST", "/slot/1", fmt.Sprintf("v-%d", number), deskDeadline)
+		testbed.recordf("request %s: status %d, %v", got.id, got.status, got.err)
 		statuses[got.status]++
 		time.Sleep(time.Second / calmPerS)
 	}
@@ -201,7 +205,9 @@
 		time.Sleep(time.Until(stoppedAt.Add(time.Duration(number) * time.Second / calmPerS)))
 		group.Go(func() {
 			id := fmt.Sprintf("s-%d", number)
-			if ask(conn, id) == 0 {
+			status := ask(conn, id)
+			testbed.recordf("request %s: status %d", id, status)
+			if status == 0 {
 				lost.Store(id, true)
 			}
 			_ = conn.Close()
