Keep accepting after a shortage of descriptors

Cause: fasthttp's Serve returns at any error of accept, which ended the probes and with them the feeds of the entry. A feed that can't reach the store and a process that is too busy were ruled out by the log and by the time after the shortage.

Change: all listeners of the four programs are opened through lib/listeners, which keeps such errors to itself, pauses and tries again. It works since no library sees an error any more after which a connection may still come.

--- a/cmd/agent/assembly/assembly.go
+++ b/cmd/agent/assembly/assembly.go
@@ -20,6 +20,7 @@
 	"firford/lib/hosts"
 	"firford/lib/invariants"
 	"firford/lib/links"
+	"firford/lib/listeners"
 	"firford/lib/logs"
 	"firford/lib/metrics"
 	"firford/lib/platform"
@@ -75,18 +76,16 @@
 	if err != nil {
 		return nil, err
 	}
-	chunkListener, err := net.Listen("tcp", settings.ChunksAddress)
-	if err != nil {
-		return nil, fmt.Errorf("listen for chunks: %w", err)
-	}
 	incarnation := processes.NewIncarnation()
 	agent := &agent{
-		settings:      settings,
-		self:          settings.Host(incarnation),
-		logger:        logger,
-		metrics:       metrics.New("firford_agent"),
-		router:        links.NewRouter(),
-		chunkListener: chunkListener,
+		settings: settings,
+		self:     settings.Host(incarnation),
+		logger:   logger,
+		metrics:  metrics.New("firford_agent"),
+		router:   links.NewRouter(),
+	}
+	if agent.chunkListener, err = listeners.Listen(settings.ChunksAddress, "chunks", logger, agent.metrics.Scope); err != nil {
+		return nil, fmt.Errorf("listen for chunks: %w", err)
 	}
 	agent.checker = invariants.New(logger, agent.metrics.Scope, settings.StopOnViolation)
 	agent.options = settings.LinkOptions(hosts.RoleAgent, incarnation, agent.router, logger)
@@ -182,12 +181,12 @@
 	runCtx, cancelRun := context.WithCancel(context.Background())
 	defer cancelRun()
 	group, runCtx := errgroup.WithContext(runCtx)
-	linkListener, err := net.Listen("tcp", agent.settings.LinksAddress)
+	linkListener, err := listeners.Listen(agent.settings.LinksAddress, "links", agent.logger, agent.metrics.Scope)
 	if err != nil {
 		return fmt.Errorf("listen for links: %w", err)
 	}
-	adminListener, err := net.Listen("tcp", agent.settings.AdminAddress)
-	if err != nil {
+	var adminListener net.Listener
+	if adminListener, err = listeners.Listen(agent.settings.AdminAddress, "probes", agent.logger, agent.metrics.Scope); err != nil {
 		return fmt.Errorf("listen for probes: %w", err)
 	}
 	if agent.settings.TLS != nil {
--- a/cmd/agent/routed/routed.go
+++ b/cmd/agent/routed/routed.go
@@ -17,6 +17,7 @@
 
 	"firford/lib/directives"
 	"firford/lib/hosts"
+	"firford/lib/listeners"
 	"firford/lib/loads"
 	"firford/lib/logs"
 	"firford/lib/metrics"
@@ -133,7 +134,7 @@
 }
 
 func (agent *agent) run(ctx context.Context) error {
-	listener, err := net.Listen("tcp", agent.settings.PeerAddress())
+	listener, err := listeners.Listen(agent.settings.PeerAddress(), "agents", agent.logger, agent.metrics.Scope)
 	if err != nil {
 		return fmt.Errorf("listen for agents: %w", err)
 	}
@@ -178,7 +179,7 @@
 }
 
 func (agent *agent) serveProbes(ctx context.Context) error {
-	listener, err := net.Listen("tcp", agent.settings.MetricsAddress())
+	listener, err := listeners.Listen(agent.settings.MetricsAddress(), "metrics", agent.logger, agent.metrics.Scope)
 	if err != nil {
 		return fmt.Errorf("listen for probes: %w", err)
 	}
--- /dev/null
+++ b/cmd/bench/fleet/descriptors_test.go
@@ -0,0 +1,167 @@
+package fleet
+
+import (
+	"fmt"
+	"net"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	startTimeout = 30 * time.Second
+	// shortageTime is how long processes have no descriptor left, and shortageEndsIn how
+	// long after it all must be as before.
+	shortageTime   = 2 * time.Second
+	shortageEndsIn = 2 * time.Second
+	// stopTimeout exceeds the time that a process without requests takes to end.
+	stopTimeout = 5 * time.Second
+	askTimeout  = time.Second
+	askPause    = 20 * time.Millisecond
+)
+
+// Texts that each kind of server answers, if only by closing the connection.
+const (
+	httpRequest = "GET /ready HTTP/1.1\r\nHost: fleet\r\nConnection: close\r\n\r\n"
+	grpcPreface = "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\x00\x00\x00\x04\x00\x00\x00\x00\x00"
+	noMessage   = "none\r\n\r\n"
+)
+
+// runningProcess is a started process. ended is closed once it has ended.
+type runningProcess struct {
+	Process
+	command *exec.Cmd
+	ended   chan struct{}
+}
+
+// startFleet builds and starts the fleet of the plan.
+func startFleet(t *testing.T, plan Plan) map[string]*runningProcess {
+	t.Helper()
+	for _, program := range []string{"entry", "agent", "fakeplatform", "fakeengine", "fakenetwork"} {
+		command := exec.Command("go", "build", "-o", filepath.Join(plan.Binaries, program), "firford/cmd/"+program)
+		if out, err := command.CombinedOutput(); err != nil {
+			t.Fatalf("build %s: %v\n%s", program, err, out)
+		}
+	}
+	if err := plan.Write(); err != nil {
+		t.Fatal(err)
+	}
+	all := map[string]*runningProcess{}
+	for _, each := range plan.Processes() {
+		started := &runningProcess{Process: each, command: exec.Command(each.Arguments[0], each.Arguments[1:]...), ended: make(chan struct{})}
+		if err := started.command.Start(); err != nil {
+			t.Fatal(err)
+		}
+		go func() {
+			_ = started.command.Wait() // The error only reports the signals of the test.
+			close(started.ended)
+		}()
+		t.Cleanup(func() {
+			_ = started.command.Process.Kill()
+			<-started.ended
+		})
+		if err := waitFor(startTimeout, func() error { return ask(each.ReadyAddress, httpRequest) }); err != nil {
+			t.Fatalf("%s does not start: %v", each.Name, err)
+		}
+		all[each.Name] = started
+	}
+	return all
+}
+
+// ask sends the text on a new connection and returns an error unless the server answers or
+// closes the connection.
+func ask(address, text string) error {
+	conn, err := net.DialTimeout("tcp", address, askTimeout)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetDeadline(time.Now().Add(askTimeout))
+	if _, err := conn.Write([]byte(text)); err != nil {
+		return err
+	}
+	if _, err := conn.Read(make([]byte, 1)); err != nil {
+		if timeout, isNet := err.(net.Error); isNet && timeout.Timeout() {
+			return fmt.Errorf("%s: no answer in %s", address, askTimeout)
+		}
+	}
+	return nil
+}
+
+func waitFor(timeout time.Duration, condition func() error) error {
+	err := condition()
+	for deadline := time.Now().Add(timeout); err != nil && time.Now().Before(deadline); err = condition() {
+		time.Sleep(askPause)
+	}
+	return err
+}
+
+// setDescriptorLimit bounds the numbers of the descriptors that the process may open, and
+// returns the bound of before.
+func (process *runningProcess) setDescriptorLimit(t *testing.T, limit uint64) (former uint64) {
+	t.Helper()
+	var current unix.Rlimit
+	pid := process.command.Process.Pid
+	if err := unix.Prlimit(pid, unix.RLIMIT_NOFILE, nil, &current); err != nil {
+		t.Fatal(err)
+	}
+	if err := unix.Prlimit(pid, unix.RLIMIT_NOFILE, &unix.Rlimit{Cur: limit, Max: current.Max}, nil); err != nil {
+		t.Fatal(err)
+	}
+	return current.Cur
+}
+
+// Guards against an entry or an agent of the product's own interface that ends, cutting the
+// requests in progress, or lives on with a listener less, because it had no descriptor left
+// for a moment.
+func TestProcessesOutliveAShortageOfDescriptors(t *testing.T) {
+	directory := t.TempDir()
+	plan := Plan{
+		BasePort: 31000, Directory: directory, Binaries: directory, DataCentres: []string{"hall"}, Region: "nairobi",
+		Entries: 1, Pools: []Pool{{Deployment: "office", Type: "service", Servers: 1}}, StopOnViolation: true,
+	}
+	processes := startFleet(t, plan)
+	questions := map[string]string{
+		plan.address(portEntryAdmin, 0): httpRequest, plan.address(portCallers, 0): httpRequest,
+		plan.address(portOperators, 0): grpcPreface, plan.address(portEntryLinks, 0): noMessage,
+		plan.address(portAgentAdmin, 0): httpRequest, plan.address(portChunks, 0): httpRequest, plan.address(portAgentLinks, 0): noMessage,
+	}
+	short := []*runningProcess{processes[entryName(0)], processes["agent-01"]}
+	var former uint64
+	for _, process := range short {
+		former = process.setDescriptorLimit(t, 0)
+	}
+	for endsAt := time.Now().Add(shortageTime); time.Now().Before(endsAt); time.Sleep(askPause) {
+		for address, text := range questions {
+			if conn, err := net.DialTimeout("tcp", address, askPause); err == nil {
+				_, _ = conn.Write([]byte(text))
+				_ = conn.Close()
+			}
+		}
+	}
+	for _, process := range short {
+		select {
+		case <-process.ended:
+			t.Fatalf("%s has ended by itself: %s", process.Name, process.command.ProcessState)
+		default:
+			process.setDescriptorLimit(t, former)
+		}
+	}
+	for address, text := range questions {
+		if err := waitFor(shortageEndsIn, func() error { return ask(address, text) }); err != nil {
+			t.Errorf("%s after the shortage: %v", shortageEndsIn, err)
+		}
+	}
+	for _, process := range short {
+		_ = process.command.Process.Signal(syscall.SIGTERM)
+		select {
+		case <-process.ended:
+		case <-time.After(stopTimeout):
+			t.Errorf("%s runs %s after SIGTERM", process.Name, stopTimeout)
+		}
+	}
+}
--- a/cmd/entry/assembly/assembly.go
+++ b/cmd/entry/assembly/assembly.go
@@ -20,6 +20,7 @@
 	"firford/lib/hosts"
 	"firford/lib/invariants"
 	"firford/lib/links"
+	"firford/lib/listeners"
 	"firford/lib/logs"
 	"firford/lib/metrics"
 	"firford/lib/operators"
@@ -137,7 +138,7 @@
 // run runs all components until ctx ends, lets the requests in flight finish,
 // and then stops the components.
 func (entry *entry) run(ctx, runCtx context.Context, cancelRun context.CancelFunc) error {
-	listeners, err := entry.listen()
+	open, err := entry.listen()
 	if err != nil {
 		return err
 	}
@@ -145,9 +146,9 @@
 	acceptCtx, stopAccepting := context.WithCancel(runCtx)
 	detach := context.AfterFunc(ctx, stopAccepting)
 	defer detach()
-	group.Go(func() error { return links.Serve(runCtx, listeners.links, entry.options) })
+	group.Go(func() error { return links.Serve(runCtx, open.links, entry.options) })
 	group.Go(func() error {
-		return probes.New(entry.readiness(acceptCtx), entry.metrics.Handler).Serve(runCtx, listeners.admin)
+		return probes.New(entry.readiness(acceptCtx), entry.metrics.Handler).Serve(runCtx, open.admin)
 	})
 	group.Go(func() error { entry.watcher.Run(runCtx); return nil })
 	group.Go(func() error { entry.configuration.Run(runCtx); return nil })
@@ -159,10 +160,10 @@
 		entry.burnRecorder.Run(runCtx, burns.NewArchive(entry.self.Name, entry.platform, entry.platform))
 		return nil
 	})
-	group.Go(func() error { return entry.operators.Serve(acceptCtx, listeners.operators) })
+	group.Go(func() error { return entry.operators.Serve(acceptCtx, open.operators) })
 	group.Go(func() error {
 		defer cancelRun()
-		return entry.apiServer.Serve(acceptCtx, listeners.callers)
+		return entry.apiServer.Serve(acceptCtx, open.callers)
 	})
 	entry.logger.Info("started", zap.String("incarnation", entry.self.Incarnation))
 	err = group.Wait()
@@ -212,27 +213,27 @@
 	}
 }
 
-// listeners holds one listener for each interface of an entry.
-type listeners struct {
+// endpoints holds one listener for each interface of an entry.
+type endpoints struct {
 	links, admin, callers, operators net.Listener
 }
 
 // listen opens the listeners, with TLS for callers and the admin interface if it
 // is configured. The operators' server applies TLS itself.
-func (entry *entry) listen() (listeners, error) {
-	var open listeners
+func (entry *entry) listen() (endpoints, error) {
+	var open endpoints
 	for _, endpoint := range []struct {
-		address string
-		target  *net.Listener
+		name, address string
+		target        *net.Listener
 	}{
-		{entry.settings.LinksAddress, &open.links},
-		{entry.settings.AdminAddress, &open.admin},
-		{entry.settings.CallersAddress, &open.callers},
-		{entry.settings.OperatorsAddress, &open.operators},
+		{"links", entry.settings.LinksAddress, &open.links},
+		{"probes", entry.settings.AdminAddress, &open.admin},
+		{"callers", entry.settings.CallersAddress, &open.callers},
+		{"operators", entry.settings.OperatorsAddress, &open.operators},
 	} {
-		listener, err := net.Listen("tcp", endpoint.address)
+		listener, err := listeners.Listen(endpoint.address, endpoint.name, entry.logger, entry.metrics.Scope)
 		if err != nil {
-			return open, fmt.Errorf("listen: %w", err)
+			return open, fmt.Errorf("listen for %s: %w", endpoint.name, err)
 		}
 		*endpoint.target = listener
 	}
--- a/cmd/entry/routed/routed.go
+++ b/cmd/entry/routed/routed.go
@@ -18,6 +18,7 @@
 
 	"firford/lib/directives"
 	"firford/lib/gateways"
+	"firford/lib/listeners"
 	"firford/lib/loads"
 	"firford/lib/logs"
 	"firford/lib/metrics"
@@ -176,8 +177,8 @@
 	entry.loadListener.SetDemands(entry.demandAt)
 	group, runCtx := errgroup.WithContext(runCtx)
 	group.Go(func() error { return entry.gateway.Serve(callers) })
-	group.Go(func() error { return entry.serveProbes(runCtx, entry.settings.AdminAddress) })
-	group.Go(func() error { return entry.serveProbes(runCtx, entry.settings.MetricsAddress()) })
+	group.Go(func() error { return entry.serveProbes(runCtx, "probes", entry.settings.AdminAddress) })
+	group.Go(func() error { return entry.serveProbes(runCtx, "metrics", entry.settings.MetricsAddress()) })
 	go entry.follower.Run(runCtx)
 	go entry.followServers(runCtx)
 	go entry.expireServers(runCtx)
@@ -210,10 +211,10 @@
 	return nil
 }
 
-func (entry *entry) serveProbes(ctx context.Context, address string) error {
-	listener, err := net.Listen("tcp", address)
+func (entry *entry) serveProbes(ctx context.Context, name, address string) error {
+	listener, err := listeners.Listen(address, name, entry.logger, entry.metrics.Scope)
 	if err != nil {
-		return fmt.Errorf("listen for probes: %w", err)
+		return fmt.Errorf("listen for %s: %w", name, err)
 	}
 	return probes.New(entry.readiness, entry.metrics.Handler).Serve(ctx, listener)
 }
--- a/lib/gateways/gateway.go
+++ b/lib/gateways/gateway.go
@@ -19,6 +19,7 @@
 	"golang.org/x/time/rate"
 
 	"firford/lib/demands"
+	"firford/lib/listeners"
 	"firford/lib/placements"
 	"firford/lib/quarantines"
 	"firford/lib/routes"
@@ -138,7 +139,7 @@
 	if !isTCP {
 		return fmt.Errorf("listen for callers on %T: not TCP", listener)
 	}
-	callers := &callerListener{TCPListener: tcp, stopped: make(chan struct{})}
+	callers := &callerListener{Listener: listeners.New(tcp, "callers", gateway.Logger, gateway.Scope), tcp: tcp, stopped: make(chan struct{})}
 	gateway.listener.Store(callers)
 	err := gateway.server.Serve(callers)
 	if errors.Is(err, http.ErrServerClosed) || callers.acceptUntil.Load() != 0 {
--- a/lib/gateways/shutdown.go
+++ b/lib/gateways/shutdown.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"firford/lib/dialers"
+	"firford/lib/listeners"
 	"firford/lib/waits"
 )
 
@@ -53,7 +54,8 @@
 	// Unix time in nanoseconds until which it does so then, zero before. stopped is closed
 	// once it accepts no more.
 	callerListener struct {
-		*net.TCPListener
+		*listeners.Listener
+		tcp         *net.TCPListener
 		acceptUntil atomic.Int64
 		stopped     chan struct{}
 	}
@@ -94,13 +96,13 @@
 			return nil, net.ErrClosed
 		}
 		if isStopping {
-			if err := listener.SetDeadline(time.Now().Add(lastAcceptTime)); err != nil {
+			if err := listener.tcp.SetDeadline(time.Now().Add(lastAcceptTime)); err != nil {
 				return nil, err
 			}
 		}
-		conn, err := listener.AcceptTCP()
+		conn, err := listener.Listener.Accept()
 		if err == nil {
-			return &callerConn{TCPConn: conn}, nil
+			return &callerConn{TCPConn: conn.(*net.TCPConn)}, nil
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return nil, err
@@ -116,7 +118,7 @@
 // stop ends the wait for connections.
 func (listener *callerListener) stop() {
 	listener.acceptUntil.Store(time.Now().Add(maxAcceptTime).UnixNano())
-	_ = listener.SetDeadline(time.Now()) // Fails only if the listener is closed.
+	_ = listener.tcp.SetDeadline(time.Now()) // Fails only if the listener is closed.
 }
 
 // setState implements http.Server.ConnState.
--- /dev/null
+++ b/lib/listeners/listeners.go
@@ -0,0 +1,121 @@
+// Package listeners accepts connections for as long as the process wants them.
+//
+// The servers of the libraries that this project uses stop serving when accept fails:
+// fasthttp at any error, net/http and gRPC at all that they don't know as temporary. Most
+// errors of accept say only that the host is short of something at the moment, such as
+// descriptors or memory, or that one connection failed. A process whose server for
+// readiness or for peers has ended that way lives on without it. So a Listener keeps such
+// errors to itself and tries again.
+package listeners
+
+import (
+	"errors"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+)
+
+const (
+	// minRetryPause and maxRetryPause bound the pauses before accept is tried again. A
+	// short one finds a descriptor that another connection has given back, a long one
+	// bounds what a lasting shortage costs.
+	minRetryPause = 5 * time.Millisecond
+	maxRetryPause = 100 * time.Millisecond
+)
+
+// Listener is a listener whose Accept fails only when no connection will ever come:
+// because the listener is closed, its deadline has passed, or it is no listener. Accept
+// must not be called concurrently.
+type Listener struct {
+	net.Listener
+	name      string
+	logger    *zap.Logger
+	failures  tally.Counter
+	pauses    *backoff.ExponentialBackOff
+	failed    int
+	failingAt time.Time
+	closed    chan struct{}
+	closeOnce sync.Once
+}
+
+// New returns a listener that accepts from the one it is given. The name, one of few,
+// tells it from others in logs and in the metric accept_failures.
+func New(listener net.Listener, name string, logger *zap.Logger, scope tally.Scope) *Listener {
+	pauses := backoff.NewExponentialBackOff()
+	pauses.InitialInterval, pauses.MaxInterval = minRetryPause, maxRetryPause
+	return &Listener{
+		Listener: listener, name: name, logger: logger, pauses: pauses, closed: make(chan struct{}),
+		failures: scope.Tagged(map[string]string{"listener": name}).Counter("accept_failures"),
+	}
+}
+
+// Listen listens on a TCP address.
+func Listen(address, name string, logger *zap.Logger, scope tally.Scope) (*Listener, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return New(listener, name, logger, scope), nil
+}
+
+// Accept implements net.Listener.
+func (listener *Listener) Accept() (net.Conn, error) {
+	for {
+		conn, err := listener.Listener.Accept()
+		if err == nil {
+			listener.recordSuccess()
+			return conn, nil
+		}
+		if isFinal(err) {
+			return nil, err
+		}
+		listener.recordFailure(err)
+		select {
+		case <-listener.closed:
+			return nil, net.ErrClosed
+		case <-time.After(listener.pauses.NextBackOff()):
+		}
+	}
+}
+
+// Close implements net.Listener.
+func (listener *Listener) Close() error {
+	listener.closeOnce.Do(func() { close(listener.closed) })
+	return listener.Listener.Close()
+}
+
+// isFinal reports whether an error of accept will come again, however often it is called.
+func isFinal(err error) bool {
+	for _, final := range []error{net.ErrClosed, os.ErrDeadlineExceeded, syscall.EBADF, syscall.EINVAL, syscall.ENOTSOCK, syscall.EFAULT} {
+		if errors.Is(err, final) {
+			return true
+		}
+	}
+	return false
+}
+
+// recordFailure counts a failure, and logs the first one of several in a row.
+func (listener *Listener) recordFailure(err error) {
+	listener.failures.Inc(1)
+	listener.failed++
+	if listener.failed == 1 {
+		listener.failingAt = time.Now()
+		listener.logger.Warn("accept failed", zap.String("listener", listener.name), zap.Error(err))
+	}
+}
+
+func (listener *Listener) recordSuccess() {
+	if listener.failed == 0 {
+		return
+	}
+	listener.logger.Info("accepting again", zap.String("listener", listener.name),
+		zap.Int("failures", listener.failed), zap.Duration("failed_for", time.Since(listener.failingAt)))
+	listener.failed = 0
+	listener.pauses.Reset()
+}
