Stop a process in order when one of its components ends

Cause: the end of a component ended the contexts of the others, and run then waited for the gateway, which only ends in the stop, which only the signal began, which was no longer read. A stop that hangs was ruled out: "stopping" is missing in the log.

The end of one is logged by its name and begins the same orderly stop as SIGTERM, while the others run on. It works since the wait for the signal and the wait for a component are one, and nothing that a stop needs ends before.

Evidence: platform/soak TestProcessesStopWithoutAListener shuts a listening socket down from outside. It passes now. The other tests of cmd/entry, cmd/agent, cmd/bench/fleet, lib/gateways and lib/requests pass.

--- a/cmd/agent/assembly/assembly.go
+++ b/cmd/agent/assembly/assembly.go
@@ -11,9 +11,9 @@
 	"time"
 
 	"go.uber.org/zap"
-	"golang.org/x/sync/errgroup"
 
 	"firford/lib/admissions"
+	"firford/lib/components"
 	"firford/lib/configurations"
 	"firford/lib/departures"
 	"firford/lib/engines"
@@ -39,6 +39,8 @@
 	// idlePollInterval is how often a load of a version checks whether the last
 	// running request has ended.
 	idlePollInterval = 20 * time.Millisecond
+	// stopTimeout is how long a drained agent waits for its components to end.
+	stopTimeout = 5 * time.Second
 )
 
 // agent holds the components of one agent process.
@@ -175,12 +177,9 @@
 	return err
 }
 
-// run runs all components until the context ends. It then drains the queue
-// before it stops them.
+// run runs all components until the context or one of them ends. It then drains the
+// queue before it stops them.
 func (agent *agent) run(ctx context.Context) error {
-	runCtx, cancelRun := context.WithCancel(context.Background())
-	defer cancelRun()
-	group, runCtx := errgroup.WithContext(runCtx)
 	linkListener, err := listeners.Listen(agent.settings.LinksAddress, "links", agent.logger, agent.metrics.Scope)
 	if err != nil {
 		return fmt.Errorf("listen for links: %w", err)
@@ -192,27 +191,26 @@
 	if agent.settings.TLS != nil {
 		adminListener = tls.NewListener(adminListener, agent.settings.TLS.ListenerConfig())
 	}
-	group.Go(func() error { return links.Serve(runCtx, linkListener, agent.options) })
-	group.Go(func() error { return probes.New(agent.readiness, agent.metrics.Handler).Serve(runCtx, adminListener) })
-	group.Go(func() error { return agent.transfers.Run(runCtx) })
-	group.Go(func() error { return agent.loader.Run(runCtx) })
-	group.Go(func() error { agent.watcher.Run(runCtx); return nil })
-	group.Go(func() error { agent.configuration.Run(runCtx); return nil })
-	group.Go(func() error { agent.departures.Run(runCtx); return nil })
-	group.Go(func() error { agent.stateNotifier.run(runCtx); return nil })
-	group.Go(func() error { agent.drainWhenLeaving(runCtx); return nil })
-	group.Go(func() error { agent.followRequestTraffic(runCtx); return nil })
-	group.Go(func() error {
-		select {
-		case <-ctx.Done():
-			agent.drain(runCtx)
-			cancelRun()
-		case <-runCtx.Done():
-		}
-		return nil
+	group := components.New(ctx, agent.logger)
+	group.Go("links", func(ctx context.Context) error { return links.Serve(ctx, linkListener, agent.options) })
+	group.Go("probes", func(ctx context.Context) error {
+		return probes.New(agent.readiness, agent.metrics.Handler).Serve(ctx, adminListener)
 	})
+	group.Go("transfers", agent.transfers.Run)
+	group.Go("loader", agent.loader.Run)
+	group.Go("hosts", func(ctx context.Context) error { agent.watcher.Run(ctx); return nil })
+	group.Go("configuration", func(ctx context.Context) error { agent.configuration.Run(ctx); return nil })
+	group.Go("departures", func(ctx context.Context) error { agent.departures.Run(ctx); return nil })
+	group.Go("state", func(ctx context.Context) error { agent.stateNotifier.run(ctx); return nil })
+	group.Go("leaving", func(ctx context.Context) error { agent.drainWhenLeaving(ctx); return nil })
+	group.Go("request traffic", func(ctx context.Context) error { agent.followRequestTraffic(ctx); return nil })
 	agent.logger.Info("started", zap.String("incarnation", agent.self.Incarnation), zap.String("deployment", agent.settings.Deployment))
-	err = group.Wait()
+	<-group.Stopping().Done()
+	agent.drain(context.Background())
+	err = group.End()
+	if !group.Wait(time.Now().Add(stopTimeout)) {
+		agent.logger.Warn("components have not ended")
+	}
 	agent.queue.Close()
 	agent.logger.Info("stopped", zap.Error(err))
 	return err
@@ -247,12 +245,13 @@
 
 // drainWhenLeaving drains the agent once, when the platform lists its host as
 // leaving. A hint from another process is not enough, because a drain can't be
-// undone.
+// undone. The agent stays until it is told to stop.
 func (agent *agent) drainWhenLeaving(ctx context.Context) {
 	for {
 		_, changed := agent.watcher.Changed()
 		if self, _ := agent.watcher.ListedHost(agent.self.Name); self.Leaving {
 			agent.drain(ctx)
+			<-ctx.Done()
 			return
 		}
 		select {
--- a/cmd/agent/routed/routed.go
+++ b/cmd/agent/routed/routed.go
@@ -12,9 +12,9 @@
 	"time"
 
 	"go.uber.org/zap"
-	"golang.org/x/sync/errgroup"
 	"golang.org/x/time/rate"
 
+	"firford/lib/components"
 	"firford/lib/directives"
 	"firford/lib/hosts"
 	"firford/lib/listeners"
@@ -138,6 +138,10 @@
 	if err != nil {
 		return fmt.Errorf("listen for agents: %w", err)
 	}
+	scrapes, err := listeners.Listen(agent.settings.MetricsAddress(), "metrics", agent.logger, agent.metrics.Scope)
+	if err != nil {
+		return fmt.Errorf("listen for metrics: %w", err)
+	}
 	datagrams, err := net.ListenPacket("udp", agent.settings.PeerAddress())
 	if err != nil {
 		return fmt.Errorf("listen for entries: %w", err)
@@ -157,39 +161,33 @@
 		Logger:        agent.logger,
 		Scope:         agent.metrics.Scope,
 	})
-	group, groupCtx := errgroup.WithContext(ctx)
-	group.Go(func() error { return stagings.NewServer(agent.node, upload).Serve(groupCtx, listener) })
-	group.Go(func() error { return agent.serveProbes(groupCtx) })
-	group.Go(func() error { agent.reporter.Run(groupCtx); return nil })
-	group.Go(func() error { agent.follower.Run(groupCtx); return nil })
-	group.Go(func() error { agent.followServers(groupCtx); return nil })
-	group.Go(func() error { agent.restoreManifests(groupCtx); return nil })
-	group.Go(func() error { agent.logBuffer.ReportDropped(groupCtx, agent.metrics.Scope); return nil })
-	group.Go(func() error { agent.ensureParameters(groupCtx); return nil })
-	group.Go(func() error { agent.node.Run(groupCtx); return nil })
+	group := components.New(ctx, agent.logger)
+	group.Go("agents", func(ctx context.Context) error { return stagings.NewServer(agent.node, upload).Serve(ctx, listener) })
+	group.Go("metrics", func(ctx context.Context) error {
+		return probes.New(agent.readiness, agent.metrics.Handler).Serve(ctx, scrapes)
+	})
+	group.Go("entries", func(ctx context.Context) error { agent.reporter.Run(ctx); return nil })
+	group.Go("operator's table", func(ctx context.Context) error { agent.follower.Run(ctx); return nil })
+	group.Go("servers", func(ctx context.Context) error { agent.followServers(ctx); return nil })
+	group.Go("manifests", func(ctx context.Context) error { agent.restoreManifests(ctx); return nil })
+	group.Go("dropped log lines", func(ctx context.Context) error { agent.logBuffer.ReportDropped(ctx, agent.metrics.Scope); return nil })
+	group.Go("weights", func(ctx context.Context) error { agent.node.Run(ctx); return nil })
+	go agent.ensureParameters(group.Stopping())
 	agent.logger.Info("started", zap.String("data_centre", agent.settings.DataCentre))
-	<-groupCtx.Done()
-	if ctx.Err() != nil {
-		// Peers keep their connections open, so waiting for the servers to end would
-		// only delay the shutdown.
-		agent.logger.Info("stopped")
-		return nil
-	}
-	return group.Wait()
+	<-group.Stopping().Done()
+	// Peers keep their connections open, so waiting for the servers to end would
+	// only delay the shutdown.
+	err = group.End()
+	agent.logger.Info("stopped", zap.Error(err))
+	return err
 }
 
-func (agent *agent) serveProbes(ctx context.Context) error {
-	listener, err := listeners.Listen(agent.settings.MetricsAddress(), "metrics", agent.logger, agent.metrics.Scope)
-	if err != nil {
-		return fmt.Errorf("listen for probes: %w", err)
-	}
-	ready := func() (bool, string) {
-		if agent.node.IsUpToDate() {
-			return true, "serving the intended version"
-		}
-		return false, "not serving the intended version"
+// readiness reports whether the engine serves the version that it should.
+func (agent *agent) readiness() (bool, string) {
+	if agent.node.IsUpToDate() {
+		return true, "serving the intended version"
 	}
-	return probes.New(ready, agent.metrics.Handler).Serve(ctx, listener)
+	return false, "not serving the intended version"
 }
 
 func (agent *agent) followServers(ctx context.Context) {
--- a/cmd/entry/assembly/assembly.go
+++ b/cmd/entry/assembly/assembly.go
@@ -8,13 +8,14 @@
 	"crypto/tls"
 	"fmt"
 	"net"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
-	"golang.org/x/sync/errgroup"
 
 	"firford/lib/backends"
 	"firford/lib/burns"
+	"firford/lib/components"
 	"firford/lib/configurations"
 	"firford/lib/departures"
 	"firford/lib/hosts"
@@ -34,6 +35,8 @@
 	// agentUpdateInterval is how often the subsets of agents are chosen anew, so
 	// that agents suspected of having failed are replaced.
 	agentUpdateInterval = time.Second
+	// stopTimeout is how long an entry without requests waits for its components to end.
+	stopTimeout = 5 * time.Second
 )
 
 // entry holds the components of one entry process.
@@ -66,7 +69,7 @@
 		return err
 	}
 	defer func() { _ = entry.metrics.Close() }()
-	return entry.run(ctx, runCtx, cancelRun)
+	return entry.run(ctx)
 }
 
 func newEntry(runCtx context.Context, settings processes.Entry) (*entry, error) {
@@ -135,38 +138,46 @@
 	return max(1, len(live))
 }
 
-// run runs all components until ctx ends, lets the requests in flight finish,
-// and then stops the components.
-func (entry *entry) run(ctx, runCtx context.Context, cancelRun context.CancelFunc) error {
+// run runs all components until the context or one of them ends, lets the requests in
+// flight finish, and then stops the components.
+func (entry *entry) run(ctx context.Context) error {
 	open, err := entry.listen()
 	if err != nil {
 		return err
 	}
-	group, runCtx := errgroup.WithContext(runCtx)
-	acceptCtx, stopAccepting := context.WithCancel(runCtx)
-	detach := context.AfterFunc(ctx, stopAccepting)
-	defer detach()
-	group.Go(func() error { return links.Serve(runCtx, open.links, entry.options) })
-	group.Go(func() error {
-		return probes.New(entry.readiness(acceptCtx), entry.metrics.Handler).Serve(runCtx, open.admin)
+	group := components.New(ctx, entry.logger)
+	acceptCtx := group.Stopping()
+	group.Go("links", func(ctx context.Context) error { return links.Serve(ctx, open.links, entry.options) })
+	group.Go("probes", func(ctx context.Context) error {
+		return probes.New(entry.readiness(acceptCtx), entry.metrics.Handler).Serve(ctx, open.admin)
 	})
-	group.Go(func() error { entry.watcher.Run(runCtx); return nil })
-	group.Go(func() error { entry.configuration.Run(runCtx); return nil })
-	group.Go(func() error { entry.departures.Run(runCtx); return nil })
-	group.Go(func() error { entry.claims.Run(runCtx); return nil })
-	group.Go(func() error { entry.updateAgents(runCtx); return nil })
-	group.Go(func() error { entry.recordRolloutTimes(runCtx); return nil })
-	group.Go(func() error {
-		entry.burnRecorder.Run(runCtx, burns.NewArchive(entry.self.Name, entry.platform, entry.platform))
+	group.Go("hosts", func(ctx context.Context) error { entry.watcher.Run(ctx); return nil })
+	group.Go("configuration", func(ctx context.Context) error { entry.configuration.Run(ctx); return nil })
+	group.Go("departures", func(ctx context.Context) error { entry.departures.Run(ctx); return nil })
+	group.Go("claims", func(ctx context.Context) error { entry.claims.Run(ctx); return nil })
+	group.Go("links to agents", func(ctx context.Context) error { entry.updateAgents(ctx); return nil })
+	group.Go("rollout times", func(ctx context.Context) error { entry.recordRolloutTimes(ctx); return nil })
+	group.Go("burn records", func(ctx context.Context) error {
+		entry.burnRecorder.Run(ctx, burns.NewArchive(entry.self.Name, entry.platform, entry.platform))
 		return nil
 	})
-	group.Go(func() error { return entry.operators.Serve(acceptCtx, open.operators) })
-	group.Go(func() error {
-		defer cancelRun()
+	var servers sync.WaitGroup
+	servers.Add(2)
+	group.Go("operators", func(context.Context) error {
+		defer servers.Done()
+		return entry.operators.Serve(acceptCtx, open.operators)
+	})
+	group.Go("callers", func(context.Context) error {
+		defer servers.Done()
 		return entry.apiServer.Serve(acceptCtx, open.callers)
 	})
 	entry.logger.Info("started", zap.String("incarnation", entry.self.Incarnation))
-	err = group.Wait()
+	<-acceptCtx.Done()
+	servers.Wait() // They answer the requests in flight first.
+	err = group.End()
+	if !group.Wait(time.Now().Add(stopTimeout)) {
+		entry.logger.Warn("components have not ended")
+	}
 	entry.logger.Info("stopped", zap.Error(err))
 	return err
 }
--- a/cmd/entry/routed/routed.go
+++ b/cmd/entry/routed/routed.go
@@ -14,8 +14,8 @@
 	"time"
 
 	"go.uber.org/zap"
-	"golang.org/x/sync/errgroup"
 
+	"firford/lib/components"
 	"firford/lib/directives"
 	"firford/lib/gateways"
 	"firford/lib/listeners"
@@ -162,12 +162,18 @@
 }
 
 func (entry *entry) run(ctx context.Context) error {
-	runCtx, cancel := context.WithCancel(context.Background())
-	defer cancel()
 	callers, err := net.Listen("tcp", entry.settings.CallersAddress)
 	if err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
 	}
+	admin, err := listeners.Listen(entry.settings.AdminAddress, "probes", entry.logger, entry.metrics.Scope)
+	if err != nil {
+		return fmt.Errorf("listen for probes: %w", err)
+	}
+	scrapes, err := listeners.Listen(entry.settings.MetricsAddress(), "metrics", entry.logger, entry.metrics.Scope)
+	if err != nil {
+		return fmt.Errorf("listen for metrics: %w", err)
+	}
 	reports, err := net.ListenPacket("udp", entry.settings.PeerAddress())
 	if err != nil {
 		return fmt.Errorf("listen for reports: %w", err)
@@ -175,48 +181,41 @@
 	entry.loadListener = loads.NewListener(
 		reports, func() []netip.AddrPort { return *entry.agents.Load() }, entry.follower, entry.queue, crashLedger{entry: entry}, entry.applyReport, entry.logger)
 	entry.loadListener.SetDemands(entry.demandAt)
-	group, runCtx := errgroup.WithContext(runCtx)
-	group.Go(func() error { return entry.gateway.Serve(callers) })
-	group.Go(func() error { return entry.serveProbes(runCtx, "probes", entry.settings.AdminAddress) })
-	group.Go(func() error { return entry.serveProbes(runCtx, "metrics", entry.settings.MetricsAddress()) })
-	go entry.follower.Run(runCtx)
-	go entry.followServers(runCtx)
-	go entry.expireServers(runCtx)
-	go entry.gateway.ReportMetrics(runCtx)
-	go entry.logBuffer.ReportDropped(runCtx, entry.metrics.Scope)
-	go entry.loadListener.Run(runCtx)
+	probeServer := probes.New(entry.readiness, entry.metrics.Handler)
+	group := components.New(ctx, entry.logger)
+	group.Go("callers", func(context.Context) error { return entry.gateway.Serve(callers) })
+	group.Go("probes", func(ctx context.Context) error { return probeServer.Serve(ctx, admin) })
+	group.Go("metrics", func(ctx context.Context) error { return probeServer.Serve(ctx, scrapes) })
+	group.Go("operator's table", func(ctx context.Context) error { entry.follower.Run(ctx); return nil })
+	group.Go("servers", func(ctx context.Context) error { entry.followServers(ctx); return nil })
+	group.Go("missing servers", func(ctx context.Context) error { entry.expireServers(ctx); return nil })
+	group.Go("gateway metrics", func(ctx context.Context) error { entry.gateway.ReportMetrics(ctx); return nil })
+	group.Go("dropped log lines", func(ctx context.Context) error { entry.logBuffer.ReportDropped(ctx, entry.metrics.Scope); return nil })
+	group.Go("reports", func(ctx context.Context) error { entry.loadListener.Run(ctx); return nil })
 	entry.logger.Info("started", zap.String("data_centre", entry.settings.DataCentre), zap.String("callers", entry.settings.CallersAddress))
-	select {
-	case <-ctx.Done():
-	case <-runCtx.Done():
-		return group.Wait()
-	}
-	return entry.stop(cancel, group)
+	<-group.Stopping().Done()
+	return entry.stop(group)
 }
 
-// stop reports the entry as not ready, gives the balancer time to notice, and then
-// waits for the requests in flight.
-func (entry *entry) stop(cancelRun func(), group *errgroup.Group) error {
-	deadline := time.Now().Add(entry.settings.ShutdownTimeout - shutdownMargin)
+// stop reports the entry as not ready, gives the balancer time to notice, waits for the
+// requests in flight, and then ends the components. It returns why the entry stops, if it
+// was not told to.
+func (entry *entry) stop(group *components.Group) error {
+	stopAt := time.Now().Add(entry.settings.ShutdownTimeout)
+	deadline := stopAt.Add(-shutdownMargin)
 	entry.logger.Info("stopping", zap.Int64("running", entry.gateway.InFlight()))
 	entry.draining.Store(true)
 	entry.gateway.BeginDrain(deadline)
 	time.Sleep(drainAcceptTime)
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
-	err := entry.gateway.Shutdown(ctx)
-	entry.logger.Info("stopped", zap.Int64("running", entry.gateway.InFlight()), zap.Error(err))
-	cancelRun()
-	_ = group.Wait() // The listeners end with the context.
-	return nil
-}
-
-func (entry *entry) serveProbes(ctx context.Context, name, address string) error {
-	listener, err := listeners.Listen(address, name, entry.logger, entry.metrics.Scope)
-	if err != nil {
-		return fmt.Errorf("listen for %s: %w", name, err)
+	shutdownErr := entry.gateway.Shutdown(ctx)
+	entry.logger.Info("stopped", zap.Int64("running", entry.gateway.InFlight()), zap.Error(shutdownErr))
+	err := group.End()
+	if !group.Wait(stopAt) {
+		entry.logger.Warn("components have not ended")
 	}
-	return probes.New(entry.readiness, entry.metrics.Handler).Serve(ctx, listener)
+	return err
 }
 
 func (entry *entry) readiness() (bool, string) {
--- a/lib/gateways/shutdown.go
+++ b/lib/gateways/shutdown.go
@@ -105,6 +105,7 @@
 			return &callerConn{TCPConn: conn.(*net.TCPConn)}, nil
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			close(listener.stopped)
 			return nil, err
 		}
 		// The deadline may only have ended the wait of before, while connections came.
--- a/lib/requests/api_server.go
+++ b/lib/requests/api_server.go
@@ -114,9 +114,9 @@
 	}
 }
 
-// Serve answers callers on the listener. When the context ends, it closes connections by
-// their next answer, stops accepting them once those that are open are quiet, and returns
-// once the requests in progress have ended.
+// Serve answers callers on the listener. When the context ends or the listener fails, it
+// closes connections by their next answer, stops accepting them once those that are open
+// are quiet, and returns once the requests in progress have ended.
 func (server *APIServer) Serve(ctx context.Context, listener net.Listener) error {
 	conns := &callerConns{idleSince: map[net.Conn]time.Time{}}
 	httpServer := &fasthttp.Server{
@@ -133,6 +133,8 @@
 		SecureErrorLogMessage: true,
 		Logger:                discardLogger{},
 	}
+	ctx, endServing := context.WithCancel(ctx)
+	defer endServing()
 	stopped := make(chan error, 1)
 	go func() {
 		<-ctx.Done()
@@ -140,10 +142,13 @@
 		conns.awaitQuiet(time.Now())
 		stopped <- httpServer.Shutdown()
 	}()
-	if err := httpServer.Serve(lingeringListener{Listener: listener}); err != nil {
+	err := httpServer.Serve(lingeringListener{Listener: listener})
+	endServing() // Also without its listener, the server answers the requests in progress.
+	stopErr := <-stopped
+	if err != nil {
 		return fmt.Errorf("serve callers: %w", err)
 	}
-	return <-stopped
+	return stopErr
 }
 
 // InProgress returns the number of requests that have not ended.
