Don't blame servers for a shortage of own descriptors

After a moment without descriptors an entry sent its servers nothing for up to 4 s, and held each request until it had tried four of them.

Cause: any failure of a dial counted as a server that can't be reached.

Change: EMFILE, ENFILE, ENOMEM and ENOBUFS leave the state of the server as it is, and the request is refused at once, since nothing was sent and no other server could be reached. The reason, the metric and the explanation are new.

--- a/lib/dialers/dialers.go
+++ b/lib/dialers/dialers.go
@@ -9,6 +9,7 @@
 import (
 	"errors"
 	"net"
+	"slices"
 	"syscall"
 	"time"
 )
@@ -22,6 +23,16 @@
 	tcpUserTimeout = 18
 )
 
+// shortages are the errors by which the system says that this process or its host has
+// nothing left of which a connection needs one: descriptors or memory.
+var shortages = []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOMEM, syscall.ENOBUFS}
+
+// IsShortage reports whether a call to the system failed because this process or its host
+// is short of descriptors or memory. Such an error says nothing about the peer.
+func IsShortage(err error) bool {
+	return slices.ContainsFunc(shortages, func(shortage error) bool { return errors.Is(err, shortage) })
+}
+
 // New returns a dialer. Connecting may take connectTimeout. A connection is
 // closed if sent bytes or keep-alive probes stay unanswered for silenceLimit.
 func New(connectTimeout, silenceLimit time.Duration) *net.Dialer {
--- a/lib/gateways/attempts.go
+++ b/lib/gateways/attempts.go
@@ -279,6 +279,8 @@
 	case notSent:
 		request.connectFailures++
 		request.log(eventNotReached, append(place, zap.Error(outcome.err))...)
+	case outOfResources:
+		request.log(eventNotReached, append(place, zap.Error(outcome.err))...)
 	case withdrawn:
 		request.log(eventWithdrawn, append(place, outcome.fields()...)...)
 		request.recordWithdrawn(server, outcome)
--- a/lib/gateways/forward.go
+++ b/lib/gateways/forward.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"firford/lib/dialers"
 	"firford/lib/placements"
 )
 
@@ -48,12 +49,15 @@
 	}
 }
 
-// classifyError distinguishes a disconnected caller, a request that was not sent
+// classifyError distinguishes a disconnected caller, a request that was not sent, also for
+// want of a resource of this process,
 // and an answer that was lost.
 func (request *request) classifyError(ctx context.Context, err error) attemptResult {
 	switch {
 	case errors.Is(request.received.Context().Err(), context.Canceled):
 		return callerGone{}
+	case errors.Is(err, errNotSent) && dialers.IsShortage(err):
+		return outOfResources{err: err}
 	case errors.Is(err, errNotSent):
 		return notSent{err: err}
 	case ctx.Err() != nil:
--- a/lib/gateways/metrics.go
+++ b/lib/gateways/metrics.go
@@ -120,6 +120,8 @@
 		return "delivered"
 	case notSent:
 		return "not_sent"
+	case outOfResources:
+		return "out_of_resources"
 	case withdrawn:
 		return "withdrawn"
 	case notRun:
--- a/lib/gateways/reasons.go
+++ b/lib/gateways/reasons.go
@@ -21,6 +21,7 @@
 	reasonDeadline           reason = "no place before the deadline"
 	reasonTurnedAway         reason = "turned away"
 	reasonNotReached         reason = "no server reached"
+	reasonOutOfResources     reason = "entry out of descriptors or memory"
 	reasonQuarantinedPart    reason = "prompt part quarantined"
 	reasonQuarantinedRequest reason = "request quarantined"
 	// The request is invalid under the configuration in force.
@@ -38,6 +39,6 @@
 
 // allReasons lists all reasons for tests that require an explanation of each.
 var allReasons = []reason{
-	reasonNoConfiguration, reasonStopping, reasonQueueTooLong, reasonNoPlaceInTime, reasonNoAllowedServer, reasonEvacuated, reasonDeadline, reasonTurnedAway, reasonNotReached, reasonQuarantinedPart, reasonQuarantinedRequest,
+	reasonNoConfiguration, reasonStopping, reasonQueueTooLong, reasonNoPlaceInTime, reasonNoAllowedServer, reasonEvacuated, reasonDeadline, reasonTurnedAway, reasonNotReached, reasonOutOfResources, reasonQuarantinedPart, reasonQuarantinedRequest,
 	reasonNoRoute, reasonUnknownKey, reasonTooLarge, reasonAnswerLost, reasonNoServerLeft, reasonStopped, reasonRequestNotRead, reasonCallerLeft,
 }
--- a/lib/gateways/reasons_test.go
+++ b/lib/gateways/reasons_test.go
@@ -77,6 +77,12 @@
 		record(fixture, func() { fixture.post(t, "/once/", "") })
 		fixture = newGatewayFixture(t, 1, unreachable...)
 		record(fixture, func() { fixture.post(t, "/once/", "") })
+		fixture = newGatewayFixture(t, 1, newScriptedServer(t, hang))
+		record(fixture, func() {
+			if status := askWithoutDescriptors(t, fixture); status != http.StatusServiceUnavailable {
+				t.Errorf("status %d without descriptors", status)
+			}
+		})
 		fixture = newGatewayFixture(t, 1)
 		for i := range 3 {
 			crashedAt := time.Now().Add(time.Duration(i-3) * time.Second)
--- a/lib/gateways/retries.go
+++ b/lib/gateways/retries.go
@@ -35,6 +35,9 @@
 	delivered struct{}
 	// notSent means that no byte was sent to the server.
 	notSent struct{ err error }
+	// outOfResources means that no byte was sent because this process or its host has no
+	// descriptor or memory left for a connection. It says nothing about the server.
+	outOfResources struct{ err error }
 	// withdrawn means that nothing was sent, because the server stated at heardAt that it
 	// wants no requests, because it is cold, of which this entry heard at heardAt, or because
 	// its version is due to be replaced, without a heardAt.
@@ -71,6 +74,7 @@
 
 func (delivered) isAttemptResult()      {}
 func (notSent) isAttemptResult()        {}
+func (outOfResources) isAttemptResult() {}
 func (withdrawn) isAttemptResult()      {}
 func (notRun) isAttemptResult()         {}
 func (outcomeUnknown) isAttemptResult() {}
@@ -143,6 +147,10 @@
 			request.endNotRun(reasonNotReached, refusedRetryAfter)
 			return true
 		}
+	case outOfResources:
+		// Another server could not be reached either, but another entry may.
+		request.endNotRun(reasonOutOfResources, refusedRetryAfter)
+		return true
 	case notRun:
 		if request.misdirections >= maxMisdirections || !request.mayRetry(ctx) {
 			request.endNotRun(reasonTurnedAway, refusedRetryAfter)
@@ -274,7 +282,7 @@
 			return placements.Failed
 		}
 		return placements.Abandoned
-	case callerGone, quarantined, withdrawn:
+	case callerGone, quarantined, withdrawn, outOfResources:
 		return placements.Abandoned
 	default:
 		return placements.Answered
