Take answers without a valid status for errors

What callers saw: a report of other operators, an answer with the status 000 that a client got as an answer. Here a caller of the product's own interface got it as the answer of the engine, agents took it for accepted orders and sound pieces, the store's client for written transactions; callers of a routed entry waited until their deadline, or got a status from 600 to 999.

Cause: fasthttp returns 200 for a status of zero; the entry took all statuses below 200 for interim answers.

Change: lib/dialers holds which statuses an answer may have. Connections that fasthttp reads from check each status line before it does, the entry asks the same function. It works since no parser sees another status, at any place.

--- a/lib/cuts/cuts.go
+++ b/lib/cuts/cuts.go
@@ -38,6 +38,7 @@
 		cut      Cut
 		mutex    sync.Mutex
 		received int
+		accepted int
 	}
 )
 
@@ -135,12 +136,21 @@
 	return server.received
 }
 
+func (server *server) connections() int {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	return server.accepted
+}
+
 func (server *server) accept() {
 	for {
 		conn, err := server.listener.Accept()
 		if err != nil {
 			return
 		}
+		server.mutex.Lock()
+		server.accepted++
+		server.mutex.Unlock()
 		go server.serve(conn)
 	}
 }
--- a/lib/dialers/unrequested.go
+++ b/lib/dialers/unrequested.go
@@ -22,8 +22,11 @@
 // WithoutUnrequestedBytes returns the connection, which must carry one request after
 // another, so that it sends no request once bytes have come that no request asked for. A
 // server may send a second copy of an answer, late, and the client would take it for the
-// answer to its next request.
-func WithoutUnrequestedBytes(conn net.Conn) net.Conn { return &requestConn{Conn: conn} }
+// answer to its next request. Answers without a valid status are errors, as with
+// WithValidStatuses.
+func WithoutUnrequestedBytes(conn net.Conn) net.Conn {
+	return &requestConn{Conn: WithValidStatuses(conn)}
+}
 
 // DialForRequests opens a TCP connection with the timeouts of New that carries one request
 // after another, without unrequested bytes.
--- a/lib/engines/connection_pool.go
+++ b/lib/engines/connection_pool.go
@@ -67,6 +67,7 @@
 		<-pool.inUse
 		return nil, err
 	}
+	conn = dialers.WithValidStatuses(conn)
 	opened := &connection{Conn: conn, pool: pool, reader: bufio.NewReaderSize(conn, bufferBytes)}
 	opened.writer = bufio.NewWriterSize(opened, bufferBytes)
 	return opened, nil
--- a/lib/gateways/connections.go
+++ b/lib/gateways/connections.go
@@ -171,7 +171,8 @@
 // answer without an id is accepted only as the first one on a new connection, which
 // carried no earlier request. What a skipped answer states about its server is not
 // recorded: nothing in it shows that this server, as started now, wrote it, and it may be
-// older than what the server has stated since.
+// older than what the server has stated since. Behind a status that is none, nothing that
+// comes can be told from an answer.
 func (conn *connection) readAnswer(dialect Dialect, method, id string) (*http.Response, ResponseInfo, error) {
 	headBytesLeft, isFirst := maxHeadBytes, conn.isNew
 	for range maxStaleAnswers {
@@ -182,6 +183,9 @@
 		if !isFirst && isTornHead(response) {
 			return nil, ResponseInfo{}, errTornHead
 		}
+		if !dialers.IsFinalOrInterim(response.StatusCode) {
+			return nil, ResponseInfo{}, fmt.Errorf("%w: %q", dialers.ErrStatus, response.Status)
+		}
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
--- a/lib/transfers/fetch.go
+++ b/lib/transfers/fetch.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
+	"firford/lib/dialers"
 	"firford/lib/hosts"
 	"firford/lib/transfers/selections"
 )
@@ -76,7 +77,7 @@
 		deployment: transfer.deployment,
 	}
 	paced.stopAfterFunc = context.AfterFunc(transfer.ctx, func() { _ = conn.Close() })
-	return paced, nil
+	return dialers.WithValidStatuses(paced), nil
 }
 
 // SetReadDeadline implements net.Conn. A read may fail earlier, after stallTimeout.
