Say not ready while an entry can't accept callers

Cause: readiness knew nothing of accept.

Change: a listener counts as short for a second after its last failure, and an entry is not ready meanwhile.

--- a/cmd/entry/routed/routed.go
+++ b/cmd/entry/routed/routed.go
@@ -226,6 +226,8 @@
 		return false, "no configuration yet"
 	case !entry.serversListed.Load():
 		return false, "no list of servers yet"
+	case !entry.gateway.IsAccepting(time.Now()):
+		return false, "out of descriptors or memory"
 	default:
 		return true, "ready"
 	}
--- a/lib/gateways/gateway.go
+++ b/lib/gateways/gateway.go
@@ -148,6 +148,13 @@
 	return err
 }
 
+// IsAccepting reports whether the gateway has accepted all connections of callers of late. It
+// has not while the process is short of descriptors or memory.
+func (gateway *Gateway) IsAccepting(now time.Time) bool {
+	listener := gateway.listener.Load()
+	return listener == nil || !listener.IsShort(now)
+}
+
 // BeginDrain makes the gateway close each connection after its next answer, so
 // that callers open new connections, which can reach another gateway. From now on it sends
 // a request to a server only if its answer is expected before endsAt, and refuses the others.
--- a/lib/listeners/listeners.go
+++ b/lib/listeners/listeners.go
@@ -13,6 +13,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -27,6 +28,10 @@
 	// bounds what a lasting shortage costs.
 	minRetryPause = 5 * time.Millisecond
 	maxRetryPause = 100 * time.Millisecond
+	// ShortageTime is how long after its last failure a listener counts as short. While a
+	// process is at its limit, accept succeeds now and then, with each descriptor that
+	// another connection gives back.
+	ShortageTime = time.Second
 )
 
 // Listener is a listener whose Accept fails only when no connection will ever come:
@@ -40,8 +45,10 @@
 	pauses    *backoff.ExponentialBackOff
 	failed    int
 	failingAt time.Time
-	closed    chan struct{}
-	closeOnce sync.Once
+	// lastFailedAt is when accept last failed, nil if it never has.
+	lastFailedAt atomic.Pointer[time.Time]
+	closed       chan struct{}
+	closeOnce    sync.Once
 }
 
 // New returns a listener that accepts from the one it is given. The name, one of few,
@@ -90,6 +97,13 @@
 	return listener.Listener.Close()
 }
 
+// IsShort reports whether accept has failed within ShortageTime before now, so that callers
+// should go elsewhere. It is safe for concurrent use.
+func (listener *Listener) IsShort(now time.Time) bool {
+	lastFailedAt := listener.lastFailedAt.Load()
+	return lastFailedAt != nil && now.Sub(*lastFailedAt) < ShortageTime
+}
+
 // isFinal reports whether an error of accept will come again, however often it is called.
 func isFinal(err error) bool {
 	for _, final := range []error{net.ErrClosed, os.ErrDeadlineExceeded, syscall.EBADF, syscall.EINVAL, syscall.ENOTSOCK, syscall.EFAULT} {
@@ -100,22 +114,28 @@
 	return false
 }
 
-// recordFailure counts a failure, and logs the first one of several in a row.
+// recordFailure counts a failure, and logs the first one of a shortage.
 func (listener *Listener) recordFailure(err error) {
+	now := time.Now()
+	listener.lastFailedAt.Store(&now)
 	listener.failures.Inc(1)
 	listener.failed++
 	if listener.failed == 1 {
-		listener.failingAt = time.Now()
+		listener.failingAt = now
 		listener.logger.Warn("accept failed", zap.String("listener", listener.name), zap.Error(err))
 	}
 }
 
+// recordSuccess logs the first success after a shortage.
 func (listener *Listener) recordSuccess() {
 	if listener.failed == 0 {
 		return
 	}
+	listener.pauses.Reset()
+	if listener.IsShort(time.Now()) {
+		return
+	}
 	listener.logger.Info("accepting again", zap.String("listener", listener.name),
-		zap.Int("failures", listener.failed), zap.Duration("failed_for", time.Since(listener.failingAt)))
+		zap.Int("failures", listener.failed), zap.Duration("failed_for", listener.lastFailedAt.Load().Sub(listener.failingAt)))
 	listener.failed = 0
-	listener.pauses.Reset()
 }
--- a/lib/listeners/listeners_test.go
+++ b/lib/listeners/listeners_test.go
@@ -51,8 +51,11 @@
 			var accepted error
 			synctest.Test(t, func(*testing.T) {
 				source := &failingListener{err: err, endsAt: time.Now().Add(shortage)}
-				_, accepted = New(source, "probes", zap.New(core), scope).Accept()
+				listener := New(source, "probes", zap.New(core), scope)
+				_, accepted = listener.Accept()
 				late, calls = time.Since(source.endsAt), source.calls.Load()
+				time.Sleep(ShortageTime)
+				_, _ = listener.Accept()
 			})
 			convey.So(accepted, convey.ShouldBeNil)
 			convey.So(late, convey.ShouldBeLessThan, 2*maxRetryPause)
@@ -94,3 +97,30 @@
 		convey.So(errors.Is(err, net.ErrClosed), convey.ShouldBeTrue)
 	})
 }
+
+// Guards against a process that says that it is ready while accept fails, or fails for all
+// but a few connections, and against a log line for each of these.
+func TestShortageLastsUntilAcceptSucceedsForAWhile(t *testing.T) {
+	convey.Convey("Given a listener for which every second call fails", t, func() {
+		core, logged := observer.New(zap.DebugLevel)
+		var shortAtFirst, shortMeanwhile, shortAtLast bool
+		synctest.Test(t, func(*testing.T) {
+			source := &failingListener{err: syscall.EMFILE}
+			listener := New(source, "callers", zap.New(core), tally.NoopScope)
+			shortAtFirst = listener.IsShort(time.Now())
+			shortMeanwhile = true
+			for range 100 {
+				source.endsAt = time.Now().Add(time.Millisecond)
+				_, _ = listener.Accept()
+				shortMeanwhile = shortMeanwhile && listener.IsShort(time.Now())
+			}
+			time.Sleep(ShortageTime)
+			_, _ = listener.Accept()
+			shortAtLast = listener.IsShort(time.Now())
+		})
+		convey.So(shortAtFirst, convey.ShouldBeFalse)
+		convey.So(shortMeanwhile, convey.ShouldBeTrue)
+		convey.So(shortAtLast, convey.ShouldBeFalse)
+		convey.So(logged.Len(), convey.ShouldEqual, 2)
+	})
+}
