End a stopped entry without waiting for its feeds

Cause: since components run in a group, the entry waited for all of them until the end of stop_time, also for feeds that wait for an answer of the store.

Change: it ends them and returns, as before and as agents do.

--- a/cmd/entry/routed/routed.go
+++ b/cmd/entry/routed/routed.go
@@ -201,8 +201,7 @@
 // requests in flight, and then ends the components. It returns why the entry stops, if it
 // was not told to.
 func (entry *entry) stop(group *components.Group) error {
-	stopAt := time.Now().Add(entry.settings.ShutdownTimeout)
-	deadline := stopAt.Add(-shutdownMargin)
+	deadline := time.Now().Add(entry.settings.ShutdownTimeout - shutdownMargin)
 	entry.logger.Info("stopping", zap.Int64("running", entry.gateway.InFlight()))
 	entry.draining.Store(true)
 	entry.gateway.BeginDrain(deadline)
@@ -211,11 +210,8 @@
 	defer cancel()
 	shutdownErr := entry.gateway.Shutdown(ctx)
 	entry.logger.Info("stopped", zap.Int64("running", entry.gateway.InFlight()), zap.Error(shutdownErr))
-	err := group.End()
-	if !group.Wait(stopAt) {
-		entry.logger.Warn("components have not ended")
-	}
-	return err
+	// The feeds may wait for an answer of the store for longer than the process has.
+	return group.End()
 }
 
 func (entry *entry) readiness() (bool, string) {
