Bound answers of the product's own store and origin by what was asked for

What callers saw: a report of other operators, bytes without end that a machine kept until it ran out of memory.

Cause: lib/platform bounded each answer by 64 MiB. Reading takes up to four times as much, and an agent reads four chunks at a time.

Change: a chunk is read into memory of its length, other answers have 32 MiB.

Evidence: 25 forms of bytes without end at all six places that read answers. Five hold as they were, and each runs out of memory in a trial without its bounds; lib/platform TestBytesWithoutEndAreErrors fails before and passes now.

--- a/lib/endless/endless.go
+++ b/lib/endless/endless.go
@@ -4,11 +4,12 @@
 
 import (
 	"bufio"
-	"bytes"
 	"net"
 	"net/http"
 	"runtime"
 	"runtime/debug"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 )
@@ -20,40 +21,117 @@
 	sampleInterval = time.Millisecond
 )
 
+// Form is an answer that does not end: the text, and then the filler again and again.
+type Form struct{ Name, Text, Filler string }
+
+// Forms returns answers that do not end, in a head, in a body, or before either.
+func Forms() []Form {
+	const (
+		head    = "HTTP/1.1 200 OK\r\n"
+		chunked = head + "Transfer-Encoding: chunked\r\n\r\n"
+	)
+	return []Form{
+		{"bytes that are no answer", "", "x"},
+		{"zero bytes", "", "\x00"},
+		{"lines that are no answer", "", "no answer\r\n"},
+		{"empty lines", "", "\r\n"},
+		{"a protocol without end", "HTTP/1.1", "1"},
+		{"spaces before the status", "HTTP/1.1", " "},
+		{"a status without end", "HTTP/1.1 2", "0"},
+		{"a status line without end", "HTTP/1.1 200 ", "x"},
+		{"a name of a header without end", head, "x"},
+		{"a header without end", head + "Detail: ", "x"},
+		{"headers without end", head, "Detail: x\r\n"},
+		{"a folded header without end", head + "Detail: x\r\n", " x\r\n"},
+		{"continue answers without end", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+		{"interim answers without end", "", "HTTP/1.1 103 Early Hints\r\nDetail: x\r\n\r\n"},
+		{"an interim header without end", "HTTP/1.1 103 Early Hints\r\nDetail: ", "x"},
+		{"a body without length or end", head + "\r\n", "x"},
+		{"a body of HTTP/1.0 without end", "HTTP/1.0 200 OK\r\n\r\n", "x"},
+		{"a body of 1 GB", head + "Content-Length: 1000000000\r\n\r\n", "x"},
+		{"a body longer than numbers", head + "Content-Length: 99999999999999999999\r\n\r\n", "x"},
+		{"a chunk of 1 GB", chunked + "3b9aca00\r\n", "x"},
+		{"chunks without end", chunked, "1\r\nx\r\n"},
+		{"the size of a chunk without end", chunked, "0"},
+		{"an extension of a chunk without end", chunked + "1;", "x"},
+		{"a trailer without end", chunked + "1\r\nx\r\n0\r\nDetail: ", "x"},
+		{"trailers without end", chunked + "1\r\nx\r\n0\r\n", "Detail: x\r\n"},
+	}
+}
+
 // StartServer starts a server that answers each request with the text, followed by bytes
 // without end, until the test ends. It returns its address.
 func StartServer(t *testing.T, text string) string {
+	return Form{Text: text, Filler: "x"}.StartServer(t)
+}
+
+// StartServer starts a server that answers each request with the form until the caller
+// closes the connection or the test ends. It returns its address.
+func (form Form) StartServer(t *testing.T) string {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = listener.Close() })
-	go accept(listener, text)
+	go form.accept(listener)
 	return listener.Addr().String()
 }
 
-func accept(listener net.Listener, text string) {
+func (form Form) accept(listener net.Listener) {
 	for {
 		conn, err := listener.Accept()
 		if err != nil {
 			return
 		}
-		go answer(conn, text)
+		go form.answer(conn)
 	}
 }
 
-func answer(conn net.Conn, text string) {
+func (form Form) answer(conn net.Conn) {
 	defer func() { _ = conn.Close() }()
 	if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
 		return
 	}
-	filler := bytes.Repeat([]byte("x"), fillerBytes)
-	_, err := conn.Write([]byte(text))
+	form.Write(conn)
+}
+
+// Write writes the form until the caller closes the connection.
+func (form Form) Write(conn net.Conn) {
+	filler := []byte(strings.Repeat(form.Filler, fillerBytes/len(form.Filler)))
+	_, err := conn.Write([]byte(form.Text))
 	for err == nil {
 		_, err = conn.Write(filler)
 	}
 }
 
+// Check fails the test if a call to servers that answer with one of the forms succeeds, or
+// takes longer than the limit, or if that many of them at the same time take more memory than the host
+// of the process has. NewCall returns a call to the address.
+func Check(t *testing.T, concurrent int, limit time.Duration, memoryBytes int64, newCall func(address string) func() error) {
+	for _, form := range Forms() {
+		address := form.StartServer(t)
+		began := time.Now()
+		peak := PeakMemory(func() {
+			var group sync.WaitGroup
+			for range concurrent {
+				call := newCall(address)
+				group.Go(func() {
+					if err := call(); err == nil {
+						t.Errorf("%s: success", form.Name)
+					}
+				})
+			}
+			group.Wait()
+		})
+		if took := time.Since(began); took > limit {
+			t.Errorf("%s: failed after %s", form.Name, took)
+		}
+		if peak > memoryBytes {
+			t.Errorf("%s: peak of %d MB", form.Name, peak/1_000_000)
+		}
+	}
+}
+
 // PeakMemory returns the most bytes that the process has from the system for its heap and
 // stacks while the function runs.
 func PeakMemory(run func()) int64 {
--- a/lib/engines/cut_answers_test.go
+++ b/lib/engines/cut_answers_test.go
@@ -56,11 +56,7 @@
 // and counts as a success or as one that proves that nothing has run.
 func TestAnswersWithOddStatusesAreErrors(t *testing.T) {
 	calls := bodyCalls()
-	const tokens = "{\"seq\":1,\"token\":\"a\"}\n{\"done\":true,\"tokens\":1}\n"
-	calls["generation"] = bodyCall{tokens, func(client *Client) error {
-		_, err := client.Generate(context.Background(), Generation{RequestID: "r", MaxTokens: 1}, func(Token) {})
-		return err
-	}}
+	calls["generation"] = generationCall()
 	for name, each := range calls {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -68,3 +64,12 @@
 		})
 	}
 }
+
+// generationCall returns a request for a token, whose answer is a stream.
+func generationCall() bodyCall {
+	const tokens = "{\"seq\":1,\"token\":\"a\"}\n{\"done\":true,\"tokens\":1}\n"
+	return bodyCall{tokens, func(client *Client) error {
+		_, err := client.Generate(context.Background(), Generation{RequestID: "r", MaxTokens: 1}, func(Token) {})
+		return err
+	}}
+}
--- a/lib/platform/client.go
+++ b/lib/platform/client.go
@@ -27,8 +27,10 @@
 	requestTimeout = 5 * time.Second
 	// weightsTimeout bounds transfers of weights. It is long because they wait for the
 	// origin's link and are bounded by their progress instead.
-	weightsTimeout   = 10 * time.Minute
-	maxResponseBytes = 64 << 20
+	weightsTimeout = 10 * time.Minute
+	// maxResponseBytes bounds answers whose length is not known before. Reading one takes up
+	// to four times as much memory, and a process may take 256 MB.
+	maxResponseBytes = 32 << 20
 	maxConnections   = 64
 )
 
@@ -96,6 +98,12 @@
 // means that no response arrived; sent reports whether the request may have reached
 // the platform.
 func (client *Client) do(ctx context.Context, method, path string, prepare func(*fasthttp.Request)) (status int, body []byte, sent bool, err error) {
+	return client.doBounded(ctx, method, path, 0, prepare)
+}
+
+// doBounded does so for a response whose body has at most maxBytes, unless that is zero. A
+// longer one is an error, and no more of it is read or kept.
+func (client *Client) doBounded(ctx context.Context, method, path string, maxBytes int64, prepare func(*fasthttp.Request)) (status int, body []byte, sent bool, err error) {
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
@@ -105,6 +113,7 @@
 	if prepare != nil {
 		prepare(request)
 	}
+	response.StreamBody = maxBytes > 0
 	deadline, hasDeadline := ctx.Deadline()
 	if !hasDeadline {
 		deadline = time.Now().Add(requestTimeout)
@@ -120,9 +129,28 @@
 	if err != nil {
 		return 0, nil, !isUnsent(err), err
 	}
+	if maxBytes > 0 {
+		body, err = readBounded(response, maxBytes)
+		return response.StatusCode(), body, true, err
+	}
 	return response.StatusCode(), append([]byte(nil), response.Body()...), true, nil
 }
 
+// readBounded reads a body of at most maxBytes. The connection of a longer one is closed.
+func readBounded(response *fasthttp.Response, maxBytes int64) ([]byte, error) {
+	body := make([]byte, maxBytes+1)
+	count, err := io.ReadFull(response.BodyStream(), body)
+	closeErr := response.CloseBodyStream()
+	switch {
+	case err == nil:
+		return nil, fasthttp.ErrBodyTooLarge
+	case errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF):
+		return body[:count], closeErr
+	default:
+		return nil, err
+	}
+}
+
 // isUnsent reports whether nothing was sent, since no connection was made or the open one
 // held an earlier answer.
 func isUnsent(err error) bool {
@@ -244,7 +272,7 @@
 		ctx, cancel = context.WithTimeout(ctx, weightsTimeout)
 		defer cancel()
 	}
-	status, body, _, err := weights.client.do(ctx, fasthttp.MethodGet, "/weights/"+url.PathEscape(name), func(request *fasthttp.Request) {
+	status, body, _, err := weights.client.doBounded(ctx, fasthttp.MethodGet, "/weights/"+url.PathEscape(name), length, func(request *fasthttp.Request) {
 		request.Header.SetByteRange(int(offset), int(offset+length-1))
 	})
 	switch {
