End a stopped process although nobody reads its log

What callers saw: nothing; a stopped process had to be killed.

Cause: the last flush of the log waited for its reader without a limit.

Change: it waits 100 ms, which the entry keeps for its end.

--- a/lib/logs/buffer.go
+++ b/lib/logs/buffer.go
@@ -8,6 +8,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"sync/atomic"
@@ -22,8 +23,12 @@
 	bufferLines = 4096
 	// reportInterval equals the reporting interval of package metrics.
 	reportInterval = time.Second
+	// flushTimeout is how long a process that ends waits for a log that nobody reads.
+	flushTimeout = 100 * time.Millisecond
 )
 
+var errNotFlushed = errors.New("log lines are left that could not be written in time")
+
 // Buffer writes lines asynchronously, so that its callers never block on the
 // output. It is safe for concurrent use.
 type Buffer struct {
@@ -69,12 +74,21 @@
 	}
 }
 
-// Sync waits until the lines that are queued now have been written.
+// Sync waits until the lines that are queued now have been written, at most flushTimeout.
 func (buffer *Buffer) Sync() error {
 	done := make(chan struct{})
-	buffer.flushes <- done
-	<-done
-	return nil
+	timeout := time.After(flushTimeout)
+	select {
+	case buffer.flushes <- done:
+	case <-timeout:
+		return errNotFlushed
+	}
+	select {
+	case <-done:
+		return nil
+	case <-timeout:
+		return errNotFlushed
+	}
 }
 
 func (buffer *Buffer) run(output io.Writer) {
--- a/lib/logs/buffer_test.go
+++ b/lib/logs/buffer_test.go
@@ -54,3 +54,22 @@
 		convey.So(int64(lines)+buffer.Dropped(), convey.ShouldEqual, 2*bufferLines)
 	})
 }
+
+// Guards against a process that was told to stop and does not end, because nobody reads its
+// log.
+func TestSyncEndsAlthoughTheLogIsNotRead(t *testing.T) {
+	convey.Convey("Given an output whose writes block, and a line that waits for it, the wait for it ends", t, func() {
+		output := &blockedWriter{open: make(chan struct{})}
+		defer close(output.open)
+		buffer := NewBuffer(output)
+		_, _ = buffer.Write([]byte("line\n"))
+		ended := make(chan error, 1)
+		go func() { ended <- buffer.Sync() }()
+		select {
+		case err := <-ended:
+			convey.So(err, convey.ShouldNotBeNil)
+		case <-time.After(10 * time.Second):
+			t.Error("the wait does not end")
+		}
+	})
+}
