Pause after errors of the socket for load reports

Cause: receive tried again at once after any error, so an error that lasts, such as a lack of memory, took a whole core, and after a close from elsewhere it turned for ever.

Change: a pause of 5 ms after an error, and an end once the socket is closed, which makes the process stop as for any component.

--- a/lib/loads/loads.go
+++ b/lib/loads/loads.go
@@ -11,6 +11,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net"
 	"net/netip"
 	"time"
@@ -19,11 +20,14 @@
 
 	"firford/lib/directives"
 	"firford/lib/placements"
+	"firford/lib/waits"
 )
 
 const (
 	// maxDatagramBytes has room for the parameters of some dozen kinds of engines.
 	maxDatagramBytes = 8192
+	// receiveRetryPause is the pause after an error of the socket, which may last.
+	receiveRetryPause = 5 * time.Millisecond
 	// maxLimits bounds the limits in a datagram to a quarter of its size, and maxLeaving
 	// the servers that leave.
 	maxLimits  = 48
@@ -173,6 +177,7 @@
 	return incoming, err
 }
 
+// receive passes on the datagrams that arrive until the context ends or the socket is closed.
 func receive(ctx context.Context, conn net.PacketConn, logger *zap.Logger, handle func(message, netip.AddrPort)) {
 	context.AfterFunc(ctx, func() { _ = conn.Close() })
 	buffer := make([]byte, maxDatagramBytes)
@@ -181,8 +186,12 @@
 		if ctx.Err() != nil {
 			return
 		}
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
 		if err != nil {
 			logger.Debug("load datagram not received", zap.Error(err))
+			waits.Sleep(ctx, receiveRetryPause)
 			continue
 		}
 		incoming, err := decode(buffer[:count])
