Start loops without errors by a method of their own, and use free ports in a test

The test of cmd/bench/fleet used ports from which the tests of lib/transfers choose theirs, so that the two could meet when packages are tested at the same time; that has not been seen.

Change: components.Group.Loop; the base port is 14000.

--- a/cmd/bench/fleet/descriptors_test.go
+++ b/cmd/bench/fleet/descriptors_test.go
@@ -121,7 +121,7 @@
 func TestProcessesOutliveAShortageOfDescriptors(t *testing.T) {
 	directory := t.TempDir()
 	plan := Plan{
-		BasePort: 31000, Directory: directory, Binaries: directory, DataCentres: []string{"hall"}, Region: "nairobi",
+		BasePort: 14000, Directory: directory, Binaries: directory, DataCentres: []string{"hall"}, Region: "nairobi",
 		Entries: 1, Pools: []Pool{{Deployment: "office", Type: "service", Servers: 1}}, StopOnViolation: true,
 	}
 	processes := startFleet(t, plan)
--- a/cmd/entry/assembly/assembly.go
+++ b/cmd/entry/assembly/assembly.go
@@ -151,15 +151,14 @@
 	group.Go("probes", func(ctx context.Context) error {
 		return probes.New(entry.readiness(acceptCtx), entry.metrics.Handler).Serve(ctx, open.admin)
 	})
-	group.Go("hosts", func(ctx context.Context) error { entry.watcher.Run(ctx); return nil })
-	group.Go("configuration", func(ctx context.Context) error { entry.configuration.Run(ctx); return nil })
-	group.Go("departures", func(ctx context.Context) error { entry.departures.Run(ctx); return nil })
-	group.Go("claims", func(ctx context.Context) error { entry.claims.Run(ctx); return nil })
-	group.Go("links to agents", func(ctx context.Context) error { entry.updateAgents(ctx); return nil })
-	group.Go("rollout times", func(ctx context.Context) error { entry.recordRolloutTimes(ctx); return nil })
-	group.Go("burn records", func(ctx context.Context) error {
+	group.Loop("hosts", entry.watcher.Run)
+	group.Loop("configuration", entry.configuration.Run)
+	group.Loop("departures", entry.departures.Run)
+	group.Loop("claims", entry.claims.Run)
+	group.Loop("links to agents", entry.updateAgents)
+	group.Loop("rollout times", entry.recordRolloutTimes)
+	group.Loop("burn records", func(ctx context.Context) {
 		entry.burnRecorder.Run(ctx, burns.NewArchive(entry.self.Name, entry.platform, entry.platform))
-		return nil
 	})
 	var servers sync.WaitGroup
 	servers.Add(2)
--- a/lib/components/components.go
+++ b/lib/components/components.go
@@ -62,6 +62,14 @@
 	})
 }
 
+// Loop starts a component that has no error of its own. It is otherwise like Go.
+func (group *Group) Loop(name string, run func(ctx context.Context)) {
+	group.Go(name, func(ctx context.Context) error {
+		run(ctx)
+		return nil
+	})
+}
+
 // End ends the contexts of the components. It returns why the process stops, nil if it was
 // told to.
 func (group *Group) End() error {
--- a/lib/components/components_test.go
+++ b/lib/components/components_test.go
@@ -60,7 +60,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			told, tell := context.WithCancel(t.Context())
 			group := New(told, zap.NewNop())
-			group.Go("feed", untilDone)
+			group.Loop("feed", func(ctx context.Context) { <-ctx.Done() })
 			group.Go("probes", func(context.Context) error { <-group.Stopping().Done(); return errBroken })
 			tell()
 			<-group.Stopping().Done()
