--- a/lib/endless/endless.go
+++ b/lib/endless/endless.go
@@ -52,7 +52,7 @@
 		{"a body of 1 GB", head + "Content-Length: 1000000000\r\n\r\n", "x"},
 		{"a body longer than numbers", head + "Content-Length: 99999999999999999999\r\n\r\n", "x"},
 		{"a chunk of 1 GB", chunked + "3b9aca00\r\n", "x"},
-		{"chunks without end", chunked, "1\r\nx\r\n"},
+		{"chunks without end", chunked, "10\r\nsixteen bytes ..\r\n"},
 		{"the size of a chunk without end", chunked, "0"},
 		{"an extension of a chunk without end", chunked + "1;", "x"},
 		{"a trailer without end", chunked + "1\r\nx\r\n0\r\nDetail: ", "x"},
