--- a/lib/endless/endless.go
+++ b/lib/endless/endless.go
@@ -13,6 +13,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"firford/lib/memory"
 )
 
 const (
@@ -109,6 +111,7 @@
 // waits until it times out, or if concurrent ones take more memory than memoryBytes.
 // NewCall returns a call to the address.
 func Check(t *testing.T, concurrent int, memoryBytes int64, newCall func(address string) func() error) {
+	defer memory.Limit(memoryBytes)() // As the programs do.
 	for _, form := range Forms() {
 		address := form.StartServer(t)
 		peak := PeakMemory(func() {
