--- a/lib/gateways/forward.go
+++ b/lib/gateways/forward.go
@@ -49,9 +49,8 @@
 	}
 }
 
-// classifyError distinguishes a disconnected caller, a request that was not sent, also for
-// want of a resource of this process,
-// and an answer that was lost.
+// classifyError distinguishes a disconnected caller, a request that was not sent, for want of
+// a resource of this process or for another reason, and an answer that was lost.
 func (request *request) classifyError(ctx context.Context, err error) attemptResult {
 	switch {
 	case errors.Is(request.received.Context().Err(), context.Canceled):
