Let the group of components stop and wait in one call

Change: Group.Stop does the three; isFinal uses slices.ContainsFunc over a named list. No behaviour changes.

--- a/cmd/agent/assembly/assembly.go
+++ b/cmd/agent/assembly/assembly.go
@@ -207,10 +207,7 @@
 	agent.logger.Info("started", zap.String("incarnation", agent.self.Incarnation), zap.String("deployment", agent.settings.Deployment))
 	<-group.Stopping().Done()
 	agent.drain(context.Background())
-	err = group.End()
-	if !group.Wait(time.Now().Add(stopTimeout)) {
-		agent.logger.Warn("components have not ended")
-	}
+	err = group.Stop(time.Now().Add(stopTimeout))
 	agent.queue.Close()
 	agent.logger.Info("stopped", zap.Error(err))
 	return err
--- a/cmd/entry/assembly/assembly.go
+++ b/cmd/entry/assembly/assembly.go
@@ -173,10 +173,7 @@
 	entry.logger.Info("started", zap.String("incarnation", entry.self.Incarnation))
 	<-acceptCtx.Done()
 	servers.Wait() // They answer the requests in flight first.
-	err = group.End()
-	if !group.Wait(time.Now().Add(stopTimeout)) {
-		entry.logger.Warn("components have not ended")
-	}
+	err = group.Stop(time.Now().Add(stopTimeout))
 	entry.logger.Info("stopped", zap.Error(err))
 	return err
 }
--- a/lib/components/components.go
+++ b/lib/components/components.go
@@ -81,9 +81,18 @@
 	return nil
 }
 
-// Wait waits until the components have ended, at most until the deadline, and reports
-// whether they have.
-func (group *Group) Wait(deadline time.Time) bool {
+// Stop does so and waits until the components have ended, at most until the deadline.
+func (group *Group) Stop(deadline time.Time) error {
+	cause := group.End()
+	if !group.awaitEnd(deadline) {
+		group.logger.Warn("components have not ended")
+	}
+	return cause
+}
+
+// awaitEnd waits until the components have ended, and returns false if the deadline passes
+// before.
+func (group *Group) awaitEnd(deadline time.Time) bool {
 	ended := make(chan struct{})
 	go func() {
 		group.wait.Wait()
--- a/lib/components/components_test.go
+++ b/lib/components/components_test.go
@@ -42,7 +42,7 @@
 				synctest.Wait()
 				othersRun = !othersEnded
 				err = group.End()
-				group.Wait(time.Now().Add(time.Second))
+				group.awaitEnd(time.Now().Add(time.Second))
 			})
 			convey.So(othersRun, convey.ShouldBeTrue)
 			convey.So(err.Error(), convey.ShouldEqual, each.text)
@@ -65,7 +65,7 @@
 			tell()
 			<-group.Stopping().Done()
 			err = group.End()
-			haveEnded = group.Wait(time.Now().Add(time.Second))
+			haveEnded = group.awaitEnd(time.Now().Add(time.Second))
 		})
 		convey.So(err, convey.ShouldBeNil)
 		convey.So(haveEnded, convey.ShouldBeTrue)
@@ -78,7 +78,7 @@
 			group.Go("stuck", func(context.Context) error { time.Sleep(time.Hour); return nil })
 			started := time.Now()
 			_ = group.End()
-			haveEnded = group.Wait(started.Add(time.Second))
+			haveEnded = group.awaitEnd(started.Add(time.Second))
 			took = time.Since(started)
 			time.Sleep(time.Hour) // Until the component has ended.
 		})
--- a/lib/listeners/listeners.go
+++ b/lib/listeners/listeners.go
@@ -12,6 +12,7 @@
 	"errors"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -34,6 +35,9 @@
 	ShortageTime = time.Second
 )
 
+// finalErrors are the errors of accept after which no connection comes any more.
+var finalErrors = []error{net.ErrClosed, os.ErrDeadlineExceeded, syscall.EBADF, syscall.EINVAL, syscall.ENOTSOCK, syscall.EFAULT}
+
 // Listener is a listener whose Accept fails only when no connection will ever come:
 // because the listener is closed, its deadline has passed, or it is no listener. Accept
 // must not be called concurrently.
@@ -106,12 +110,7 @@
 
 // isFinal reports whether an error of accept will come again, however often it is called.
 func isFinal(err error) bool {
-	for _, final := range []error{net.ErrClosed, os.ErrDeadlineExceeded, syscall.EBADF, syscall.EINVAL, syscall.ENOTSOCK, syscall.EFAULT} {
-		if errors.Is(err, final) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(finalErrors, func(final error) bool { return errors.Is(err, final) })
 }
 
 // recordFailure counts a failure, and logs the first one of a shortage.
