Open the listener of callers like all others

Cause: the gateway made its own listener from the socket, kept a function for that and the socket beside the listener for its deadline.

Change: the entry opens it by listeners.Listen as it opens its others, the gateway gets it, and a Listener passes deadlines on. The log line and the metric of callers keep their name. No behaviour changes.

--- a/cmd/entry/routed/routed.go
+++ b/cmd/entry/routed/routed.go
@@ -162,7 +162,7 @@
 }
 
 func (entry *entry) run(ctx context.Context) error {
-	callers, err := net.Listen("tcp", entry.settings.CallersAddress)
+	callers, err := listeners.Listen(entry.settings.CallersAddress, "callers", entry.logger, entry.metrics.Scope)
 	if err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
 	}
--- a/lib/gateways/fakes_test.go
+++ b/lib/gateways/fakes_test.go
@@ -19,6 +19,7 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
+	"firford/lib/listeners"
 	"firford/lib/placements"
 	"firford/lib/quarantines"
 	"firford/lib/routes"
@@ -220,7 +221,7 @@
 		ServersConfirmedAt: time.Now,
 		Logger:             zap.NewNop(), Scope: tally.NoopScope,
 	})
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := listeners.Listen("127.0.0.1:0", "callers", zap.NewNop(), tally.NoopScope)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/lib/gateways/gateway.go
+++ b/lib/gateways/gateway.go
@@ -74,8 +74,6 @@
 		inFlight       atomic.Int64
 		server         *http.Server
 		listener       atomic.Pointer[callerListener]
-		// keepAccepting returns a listener for callers whose Accept outlives shortages.
-		keepAccepting  func(net.Listener) *listeners.Listener
 		callerConns    *callerConns
 		versionChanges versionChanges
 		// refuseFrom is the Unix time in nanoseconds from which a gateway that stops refuses
@@ -119,9 +117,6 @@
 // New returns a gateway that has not started to serve yet.
 func New(dependencies Dependencies) *Gateway {
 	gateway := &Gateway{Dependencies: dependencies, pool: newPool(), callerTimeouts: newCallerTimeouts(), bufferBudget: &bufferBudget{}, metrics: newGatewayMetrics(dependencies.Scope), sampler: newSampler(), unreadableLog: rate.Sometimes{Interval: unreadableLogInterval}, callerConns: &callerConns{open: map[net.Conn]connState{}}}
-	gateway.keepAccepting = func(listener net.Listener) *listeners.Listener {
-		return listeners.New(listener, "callers", dependencies.Logger, dependencies.Scope)
-	}
 	gateway.ending, gateway.endRequests = context.WithCancelCause(context.Background())
 	gateway.server = &http.Server{
 		Handler:           gateway,
@@ -139,12 +134,11 @@
 
 // Serve answers requests on the TCP listener until Shutdown is called, which closes the
 // listener. It returns nil after Shutdown.
-func (gateway *Gateway) Serve(listener net.Listener) error {
-	tcp, isTCP := listener.(*net.TCPListener)
-	if !isTCP {
-		return fmt.Errorf("listen for callers on %T: not TCP", listener)
+func (gateway *Gateway) Serve(listener *listeners.Listener) error {
+	if _, isTCP := listener.Listener.(*net.TCPListener); !isTCP {
+		return fmt.Errorf("listen for callers on %T: not TCP", listener.Listener)
 	}
-	callers := &callerListener{Listener: gateway.keepAccepting(tcp), tcp: tcp, stopped: make(chan struct{})}
+	callers := &callerListener{Listener: listener, stopped: make(chan struct{})}
 	gateway.listener.Store(callers)
 	err := gateway.server.Serve(callers)
 	if errors.Is(err, http.ErrServerClosed) || callers.acceptUntil.Load() != 0 {
--- a/lib/gateways/shutdown.go
+++ b/lib/gateways/shutdown.go
@@ -55,7 +55,6 @@
 	// once it accepts no more.
 	callerListener struct {
 		*listeners.Listener
-		tcp         *net.TCPListener
 		acceptUntil atomic.Int64
 		stopped     chan struct{}
 	}
@@ -96,7 +95,7 @@
 			return nil, net.ErrClosed
 		}
 		if isStopping {
-			if err := listener.tcp.SetDeadline(time.Now().Add(lastAcceptTime)); err != nil {
+			if err := listener.SetDeadline(time.Now().Add(lastAcceptTime)); err != nil {
 				return nil, err
 			}
 		}
@@ -120,7 +119,7 @@
 // stop ends the wait for connections.
 func (listener *callerListener) stop() {
 	listener.acceptUntil.Store(time.Now().Add(maxAcceptTime).UnixNano())
-	_ = listener.tcp.SetDeadline(time.Now()) // Fails only if the listener is closed.
+	_ = listener.SetDeadline(time.Now()) // Fails only if the listener is closed.
 }
 
 // setState implements http.Server.ConnState.
--- a/lib/listeners/listeners.go
+++ b/lib/listeners/listeners.go
@@ -101,6 +101,18 @@
 	return listener.Listener.Close()
 }
 
+// SetDeadline ends the wait of Accept at the time, with os.ErrDeadlineExceeded. It returns an
+// error if the listener below has no deadlines.
+func (listener *Listener) SetDeadline(deadline time.Time) error {
+	limited, hasDeadline := listener.Listener.(interface {
+		SetDeadline(deadline time.Time) error
+	})
+	if !hasDeadline {
+		return errors.ErrUnsupported
+	}
+	return limited.SetDeadline(deadline)
+}
+
 // IsShort reports whether accept has failed within ShortageTime before now, so that callers
 // should go elsewhere. It is safe for concurrent use.
 func (listener *Listener) IsShort(now time.Time) bool {
