Accept for as long as the stop has while descriptors are short

Cause: 200 ms don't suffice to accept the queue of an entry at its limit.

Change: a listener that has been short within the last second doesn't close by that bound; the end of the stop still bounds it, and requests are refused meanwhile.

--- a/lib/gateways/shutdown.go
+++ b/lib/gateways/shutdown.go
@@ -31,7 +31,8 @@
 	// closeInterval is the pause between two looks at the connections.
 	closeInterval = 20 * time.Millisecond
 	// lastAcceptTime is how long a listener that stops waits for one more connection, and
-	// maxAcceptTime how long it accepts any: callers may go on to open new ones.
+	// maxAcceptTime how long it accepts any: callers may go on to open new ones. What could not
+	// be accepted for want of descriptors or memory is accepted for as long as Shutdown has.
 	lastAcceptTime = 20 * time.Millisecond
 	maxAcceptTime  = 200 * time.Millisecond
 	// LastAnswerTime is how long after the end of its context Shutdown may go on to answer
@@ -90,7 +91,7 @@
 	for {
 		acceptUntil := listener.acceptUntil.Load()
 		isStopping := acceptUntil != 0
-		if isStopping && time.Now().UnixNano() > acceptUntil {
+		if now := time.Now(); isStopping && now.UnixNano() > acceptUntil && !listener.IsShort(now) {
 			close(listener.stopped)
 			return nil, net.ErrClosed
 		}
