--- a/cmd/bench/fleet/descriptors_test.go
+++ b/cmd/bench/fleet/descriptors_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"firford/lib/shortages"
 )
 
 const (
@@ -100,21 +100,6 @@
 	return err
 }
 
-// setDescriptorLimit bounds the numbers of the descriptors that the process may open, and
-// returns the bound of before.
-func (process *runningProcess) setDescriptorLimit(t *testing.T, limit uint64) (former uint64) {
-	t.Helper()
-	var current unix.Rlimit
-	pid := process.command.Process.Pid
-	if err := unix.Prlimit(pid, unix.RLIMIT_NOFILE, nil, &current); err != nil {
-		t.Fatal(err)
-	}
-	if err := unix.Prlimit(pid, unix.RLIMIT_NOFILE, &unix.Rlimit{Cur: limit, Max: current.Max}, nil); err != nil {
-		t.Fatal(err)
-	}
-	return current.Cur
-}
-
 // Guards against an entry or an agent of the product's own interface that ends, cutting the
 // requests in progress, or lives on with a listener less, because it had no descriptor left
 // for a moment.
@@ -131,9 +116,9 @@
 		plan.address(portAgentAdmin, 0): httpRequest, plan.address(portChunks, 0): httpRequest, plan.address(portAgentLinks, 0): noMessage,
 	}
 	short := []*runningProcess{processes[entryName(0)], processes["agent-01"]}
-	var former uint64
+	var giveBack []func()
 	for _, process := range short {
-		former = process.setDescriptorLimit(t, 0)
+		giveBack = append(giveBack, shortages.TakeDescriptors(t, process.command.Process.Pid))
 	}
 	for endsAt := time.Now().Add(shortageTime); time.Now().Before(endsAt); time.Sleep(askPause) {
 		for address, text := range questions {
@@ -143,12 +128,12 @@
 			}
 		}
 	}
-	for _, process := range short {
+	for i, process := range short {
+		giveBack[i]()
 		select {
 		case <-process.ended:
 			t.Fatalf("%s has ended by itself: %s", process.Name, process.command.ProcessState)
 		default:
-			process.setDescriptorLimit(t, former)
 		}
 	}
 	for address, text := range questions {
--- a/lib/gateways/resources_test.go
+++ b/lib/gateways/resources_test.go
@@ -13,6 +13,7 @@
 	"github.com/smartystreets/goconvey/convey"
 
 	"firford/lib/placements"
+	"firford/lib/shortages"
 )
 
 // testTimeout bounds the requests of a test on one connection.
@@ -35,23 +36,6 @@
 	}
 }
 
-// takeDescriptors leaves this process without descriptors until the returned function is
-// called.
-func takeDescriptors(t *testing.T) (giveBack func()) {
-	t.Helper()
-	var former syscall.Rlimit
-	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &former); err != nil {
-		t.Fatal(err)
-	}
-	setLimit := func(limit syscall.Rlimit) {
-		if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
-			t.Error(err)
-		}
-	}
-	setLimit(syscall.Rlimit{Cur: 0, Max: former.Max})
-	return func() { setLimit(former) }
-}
-
 // askWithoutDescriptors sends a request on an open connection while this process, and so
 // the gateway, has no descriptor left. It returns the status.
 func askWithoutDescriptors(t *testing.T, fixture *gatewayFixture) int {
@@ -63,7 +47,7 @@
 	defer func() { _ = conn.Close() }()
 	_ = conn.SetDeadline(time.Now().Add(testTimeout))
 	awaitAccepted(fixture.gateway, conn)
-	defer takeDescriptors(t)()
+	defer shortages.TakeDescriptors(t, shortages.OwnProcess)()
 	_, _ = io.WriteString(conn, "POST /once/ HTTP/1.1\r\nHost: desk.example\r\nId: r-1\r\nKey: key\r\nContent-Length: 0\r\n\r\n")
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
@@ -116,7 +100,7 @@
 		convey.So(err, convey.ShouldBeNil)
 		patience := syscall.NsecToTimeval(testTimeout.Nanoseconds())
 		convey.So(syscall.SetsockoptTimeval(caller, syscall.SOL_SOCKET, syscall.SO_RCVTIMEO, &patience), convey.ShouldBeNil)
-		giveBack := takeDescriptors(t)
+		giveBack := shortages.TakeDescriptors(t, shortages.OwnProcess)
 		port := fixture.gateway.listener.Load().Addr().(*net.TCPAddr).Port
 		err = syscall.Connect(caller, &syscall.SockaddrInet4{Port: port, Addr: [4]byte{127, 0, 0, 1}})
 		for began := time.Now(); fixture.gateway.IsAccepting(time.Now()) && time.Since(began) < testTimeout; {
