Close the stop signal of the callers' listener in one place

Cause: three returns of Accept closed the channel, each of which had to be remembered, and a failure to set the deadline closed it not at all.

Change: Accept closes it whenever it returns an error, accept has the loop. The server of net/http calls Accept no more after any of these errors, since none of them is temporary: lib/listeners keeps those to itself.

--- a/lib/gateways/shutdown.go
+++ b/lib/gateways/shutdown.go
@@ -88,11 +88,19 @@
 // Accept implements net.Listener. A listener that stops returns the connections that are
 // open already, and then net.ErrClosed.
 func (listener *callerListener) Accept() (net.Conn, error) {
+	conn, err := listener.accept()
+	if err != nil {
+		close(listener.stopped) // The server calls Accept no more.
+		return nil, err
+	}
+	return &callerConn{TCPConn: conn.(*net.TCPConn)}, nil
+}
+
+func (listener *callerListener) accept() (net.Conn, error) {
 	for {
 		acceptUntil := listener.acceptUntil.Load()
 		isStopping := acceptUntil != 0
 		if now := time.Now(); isStopping && now.UnixNano() > acceptUntil && !listener.IsShort(now) {
-			close(listener.stopped)
 			return nil, net.ErrClosed
 		}
 		if isStopping {
@@ -101,17 +109,12 @@
 			}
 		}
 		conn, err := listener.Listener.Accept()
-		if err == nil {
-			return &callerConn{TCPConn: conn.(*net.TCPConn)}, nil
-		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
-			close(listener.stopped)
-			return nil, err
+			return conn, err
 		}
 		// The deadline may only have ended the wait of before, while connections came, or
 		// while they could not be accepted.
 		if isStopping && !listener.IsShort(time.Now()) {
-			close(listener.stopped)
 			return nil, net.ErrClosed
 		}
 	}
