Close the listener of a stopping entry when no caller waits, not after a time

Cause: the listener closed after 200 ms, or after 20 ms without a connection, which on a busy host says nothing about the queue.

Change: listeners.Listener.HasWaiting asks the kernel. The listener closes at a moment when none waits; the end of the stop bounds it. The exception for shortages goes. Tests of shortages leave a limit of one descriptor instead of none, since poll refuses to look at more descriptors than the limit allows.

--- a/lib/gateways/resources_test.go
+++ b/lib/gateways/resources_test.go
@@ -125,3 +125,42 @@
 		convey.So(<-stopped, convey.ShouldBeNil)
 	})
 }
+
+// Guards against requests that are lost because a busy host doesn't get to accept the
+// connections that wait before a stopping entry closes its listener.
+func TestStoppingGatewayAcceptsWhatWaits(t *testing.T) {
+	const (
+		callers    = 30
+		acceptTime = 2 * maxAcceptTime / callers
+	)
+	convey.Convey("Given a gateway that accepts too slowly for the connections that wait when it stops", t, func() {
+		gateway, listener := newGateway(t, 8, newScriptedServer(t, answer(http.StatusOK, signedHeader, "fine")))
+		setState := gateway.server.ConnState
+		gateway.server.ConnState = func(conn net.Conn, state http.ConnState) {
+			setState(conn, state)
+			if state == http.StateNew {
+				time.Sleep(acceptTime) // The server calls it between two connections.
+			}
+		}
+		var conns []net.Conn
+		for range callers {
+			conn, err := net.Dial("tcp", listener.Addr().String())
+			convey.So(err, convey.ShouldBeNil)
+			_ = conn.SetDeadline(time.Now().Add(testTimeout))
+			_, err = io.WriteString(conn, "POST /once/ HTTP/1.1\r\nHost: desk.example\r\nId: r-1\r\nKey: key\r\nContent-Length: 0\r\n\r\n")
+			convey.So(err, convey.ShouldBeNil)
+			conns = append(conns, conn)
+		}
+		go func() { _ = gateway.Serve(listener) }()
+		awaitAccepted(gateway, conns[0])
+		stopped := make(chan error, 1)
+		go func() { stopped <- gateway.Shutdown(t.Context()) }()
+		for _, conn := range conns {
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(response.StatusCode, convey.ShouldBeIn, http.StatusOK, http.StatusServiceUnavailable)
+			_ = conn.Close()
+		}
+		convey.So(<-stopped, convey.ShouldBeNil)
+	})
+}
--- a/lib/gateways/shutdown.go
+++ b/lib/gateways/shutdown.go
@@ -31,8 +31,8 @@
 	// closeInterval is the pause between two looks at the connections.
 	closeInterval = 20 * time.Millisecond
 	// lastAcceptTime is how long a listener that stops waits for one more connection, and
-	// maxAcceptTime how long it accepts any: callers may go on to open new ones. What could not
-	// be accepted for want of descriptors or memory is accepted for as long as Shutdown has.
+	// maxAcceptTime how long it does so: callers may go on to open new ones. It closes at a
+	// moment when none waits to be accepted, as long as Shutdown has time.
 	lastAcceptTime = 20 * time.Millisecond
 	maxAcceptTime  = 200 * time.Millisecond
 	// LastAnswerTime is how long after the end of its context Shutdown may go on to answer
@@ -100,7 +100,7 @@
 	for {
 		acceptUntil := listener.acceptUntil.Load()
 		isStopping := acceptUntil != 0
-		if now := time.Now(); isStopping && now.UnixNano() > acceptUntil && !listener.IsShort(now) {
+		if isStopping && time.Now().UnixNano() > acceptUntil && !listener.HasWaiting() {
 			return nil, net.ErrClosed
 		}
 		if isStopping {
@@ -112,9 +112,9 @@
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return conn, err
 		}
-		// The deadline may only have ended the wait of before, while connections came, or
-		// while they could not be accepted.
-		if isStopping && !listener.IsShort(time.Now()) {
+		// The deadline may only have ended the wait of before, or have passed before this
+		// goroutine got to accept, or while the process was short of descriptors.
+		if isStopping && !listener.HasWaiting() {
 			return nil, net.ErrClosed
 		}
 	}
--- a/lib/listeners/listeners.go
+++ b/lib/listeners/listeners.go
@@ -21,6 +21,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -113,6 +114,24 @@
 	return limited.SetDeadline(deadline)
 }
 
+// HasWaiting reports whether a connection waits to be accepted, also while accept fails or
+// its deadline has passed. It returns false if the listener below is not a socket.
+func (listener *Listener) HasWaiting() bool {
+	socket, isSocket := listener.Listener.(syscall.Conn)
+	if !isSocket {
+		return false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	count := 0
+	err = raw.Control(func(descriptor uintptr) {
+		count, _ = unix.Poll([]unix.PollFd{{Fd: int32(descriptor), Events: unix.POLLIN}}, 0)
+	})
+	return err == nil && count > 0
+}
+
 // IsShort reports whether accept has failed within ShortageTime before now, so that callers
 // should go elsewhere. It is safe for concurrent use.
 func (listener *Listener) IsShort(now time.Time) bool {
--- a/lib/shortages/shortages.go
+++ b/lib/shortages/shortages.go
@@ -9,8 +9,13 @@
 	"golang.org/x/sys/unix"
 )
 
-// OwnProcess is the id of the process of the test itself.
-const OwnProcess = 0
+const (
+	// OwnProcess is the id of the process of the test itself.
+	OwnProcess = 0
+	// leftDescriptors is a limit that allows nothing but standard input, which is open. With a
+	// limit of zero, poll would refuse to look even at one descriptor that is open.
+	leftDescriptors = 1
+)
 
 // TakeDescriptors leaves the process without a descriptor that it could open, until the
 // returned function is called. Descriptors that are open already stay open. A process that
@@ -21,7 +26,7 @@
 	if err := unix.Prlimit(process, unix.RLIMIT_NOFILE, nil, &former); err != nil {
 		t.Fatal(err)
 	}
-	if err := unix.Prlimit(process, unix.RLIMIT_NOFILE, &unix.Rlimit{Cur: 0, Max: former.Max}, nil); err != nil {
+	if err := unix.Prlimit(process, unix.RLIMIT_NOFILE, &unix.Rlimit{Cur: leftDescriptors, Max: former.Max}, nil); err != nil {
 		t.Fatal(err)
 	}
 	return func() {
