--- a/review/standins-3/origin.go
+++ b/review/standins-3/origin.go
@@ -2,7 +2,7 @@
 
 // The origin of weights, the service with one engine that sends manifests and pieces over a
 // link of its own. When it is told to, it spoils one answer and sends that answer a second
-// time, as a faulty engine may: the second copy follows the first over the same link.
+// time, as a faulty engine may: late, where the next answer on the connection is due.
 
 import (
 	"bufio"
@@ -25,6 +25,8 @@
 	// originMbps is the rate of the origin's link, and burstBytes what it sends at once.
 	originMbps = 9.9
 	burstBytes = 1460
+	// extraDelay is how late the second copy of an answer is sent, before the next answer.
+	extraDelay = 30 * time.Millisecond
 )
 
 type origin struct {
@@ -140,6 +142,7 @@
 			return
 		}
 		if isSpoilt {
+			time.Sleep(extraDelay)
 			served.record.line("origin sends the same answer to %s a second time", conn.RemoteAddr())
 			if served.send(conn, answer) != nil {
 				return
