--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -20,6 +20,7 @@
 // cases are the cases by name. Each returns an exit code.
 var cases = map[string]func(root string, written *record, isTroubled bool) int{
 	"manifest": spoiltManifest,
+	"cold":     coldBehindOutage,
 }
 
 func main() {
--- a/review/standins-3/process.go
+++ b/review/standins-3/process.go
@@ -40,6 +40,11 @@
 stop_time = 8s
 reconnect_time = 3000ms
 configuration_time = 2000ms
+`
+
+	// warmupSettings are the lines that the template adds where a sheet bounds cold engines.
+	warmupSettings = `warmup_overage = 1.5
+warmup_slack = 5
 `
 
 	agentSettings = `[process]
@@ -72,9 +77,11 @@
 // process is one of the project's processes on a host with an address of its own.
 type process struct {
 	role, name, address string
-	root, folder        string
-	storeAddress        string
-	record              *record
+	// moreSettings is added to the settings.
+	moreSettings string
+	root, folder string
+	storeAddress string
+	record       *record
 
 	mutex   sync.Mutex
 	command *exec.Cmd
@@ -98,7 +105,7 @@
 
 // start starts the process. Its log goes to a file in the folder.
 func (started *process) start() error {
-	text := fmt.Sprintf(map[string]string{"entry": entrySettings, "agent": agentSettings}[started.role], started.name, started.address, started.storeAddress)
+	text := fmt.Sprintf(map[string]string{"entry": entrySettings, "agent": agentSettings}[started.role], started.name, started.address, started.storeAddress) + started.moreSettings
 	settingsPath := filepath.Join(started.folder, started.name+".ini")
 	if err := os.WriteFile(settingsPath, []byte(text), 0o600); err != nil {
 		return err
--- a/review/standins-3/store.go
+++ b/review/standins-3/store.go
@@ -1,7 +1,7 @@
 package main
 
 // The platform's metadata store: rows in tables, long polls for their changes, and
-// transactions. It keeps all of its history and fails no call.
+// transactions. It keeps all of its history and fails no call unless it is away.
 
 import (
 	"encoding/json"
@@ -29,6 +29,8 @@
 		history []row
 		changed chan struct{}
 		began   time.Time
+		// isAway is set while the store turns away all calls.
+		isAway bool
 	}
 
 	transaction struct {
@@ -49,10 +51,33 @@
 	mux.HandleFunc("GET /-/rows-get", served.handleGet)
 	mux.HandleFunc("GET /-/rows-feed", served.handleFeed)
 	mux.HandleFunc("POST /-/rows-tx", served.handleTransaction)
-	go func() { _ = http.Serve(listener, mux) }()
+	go func() { _ = http.Serve(listener, served.unlessAway(mux)) }()
 	return served, nil
 }
 
+// unlessAway answers 503 while the store is away, which says that nothing was done.
+func (served *store) unlessAway(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, received *http.Request) {
+		served.mutex.Lock()
+		isAway := served.isAway
+		served.mutex.Unlock()
+		if isAway {
+			writer.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		next.ServeHTTP(writer, received)
+	})
+}
+
+// setAway begins or ends an outage, and ends the polls that wait.
+func (served *store) setAway(isAway bool) {
+	served.mutex.Lock()
+	defer served.mutex.Unlock()
+	served.isAway = isAway
+	close(served.changed)
+	served.changed = make(chan struct{})
+}
+
 // put writes a row as the operator or a server does. It returns when the write is
 // acknowledged.
 func (served *store) put(table, key string, value any) time.Time {
@@ -130,6 +155,11 @@
 	timeout := time.After(time.Duration(waitMS) * time.Millisecond)
 	for {
 		served.mutex.Lock()
+		if served.isAway {
+			served.mutex.Unlock()
+			writer.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
 		rows := []row{}
 		for _, each := range served.history {
 			if each.Table == query.Get("table") && each.Version > since {
